--- /dev/null
+++ b/kwg-clock/src/clock_handle.rs
@@ -0,0 +1,69 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use kwg_model::MonoTime;
+
+use crate::ManualClock;
+
+/// Reads time and waits.
+///
+/// ```
+/// use std::time::Duration;
+/// use kwg_clock::{ClockHandle, ManualClock};
+///
+/// let manual = ManualClock::new();
+/// let clock = ClockHandle::manual(&manual);
+/// let start = clock.now();
+/// manual.advance(Duration::from_secs(3));
+/// assert_eq!(clock.now().since(start), Duration::from_secs(3));
+/// ```
+#[derive(Debug, Clone)]
+pub struct ClockHandle(ClockSource);
+
+#[derive(Debug, Clone)]
+enum ClockSource {
+    System { start: Instant },
+    Manual(Arc<ManualClock>),
+}
+
+impl ClockHandle {
+    /// A clock that starts now and follows the system's monotonic clock.
+    #[must_use]
+    pub fn system() -> Self {
+        Self(ClockSource::System {
+            start: Instant::now(),
+        })
+    }
+
+    /// A clock that a test advances.
+    #[must_use]
+    pub fn manual(clock: &Arc<ManualClock>) -> Self {
+        Self(ClockSource::Manual(Arc::clone(clock)))
+    }
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> MonoTime {
+        match &self.0 {
+            ClockSource::System { start } => MonoTime::ZERO + start.elapsed(),
+            ClockSource::Manual(clock) => clock.now(),
+        }
+    }
+
+    /// Waits until the clock reads at least `deadline`.
+    pub async fn sleep_until(&self, deadline: MonoTime) {
+        match &self.0 {
+            ClockSource::System { .. } => {
+                let span = deadline.since(self.now());
+                Timer::after(span).await;
+            }
+            ClockSource::Manual(clock) => clock.wait_until(deadline).await,
+        }
+    }
+
+    /// Waits for `span`.
+    pub async fn sleep(&self, span: Duration) {
+        self.sleep_until(self.now() + span).await;
+    }
+}
--- /dev/null
+++ b/kwg-decide/src/ledger/ticket_ledger.rs
@@ -0,0 +1,372 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use kwg_model::{
+    AccountName, BurnVerdict, ClaimStub, ClaimVerdict, DispatchTicket, HomeAddress, LedgerExport,
+    MonoTime, TicketKey, TicketState,
+};
+use snafu::{Snafu, ensure};
+
+use super::LedgerOptions;
+
+/// The record of which tickets of one home are claimed or burned.
+///
+/// A ticket without an entry is open while it is young enough, so minting costs no memory
+/// beyond one record for each batch. The phase says what the ledger may do: it mints only
+/// while [`Serving`], and grants nothing once [`HandedOver`].
+///
+/// ```
+/// use kwg_decide::{LedgerOptions, TicketLedger};
+/// use kwg_model::*;
+///
+/// let home = HomeAddress { instance: InstanceName::new("r1")?, incarnation: 1, shard: 0 };
+/// let mut ledger = TicketLedger::open(home.clone(), LedgerOptions::default());
+/// let account = AccountName::new("bank")?;
+/// let ticket = ledger.mint(MonoTime::ZERO, &account, 1).expect("room").remove(0);
+/// let first = ClaimStub { claimer: home.clone(), attempt: 1 };
+/// let second = ClaimStub { claimer: home.clone(), attempt: 2 };
+/// assert_eq!(ledger.claim(MonoTime::ZERO, &ticket, &first), ClaimVerdict::Granted);
+/// assert_eq!(ledger.claim(MonoTime::ZERO, &ticket, &second), ClaimVerdict::HeldBy(home));
+/// # Ok::<(), NameError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct TicketLedger<P> {
+    home: HomeAddress,
+    options: LedgerOptions,
+    next_sequence: u64,
+    entries: BTreeMap<u64, (MonoTime, TicketState)>,
+    phase: P,
+}
+
+/// The phase of a ledger at its home.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+pub struct Serving {
+    batches: VecDeque<MintBatch>,
+    outstanding: BTreeMap<AccountName, usize>,
+    total: usize,
+}
+
+/// The phase of a ledger that a successor carries on.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Inherited {
+    exported_at: MonoTime,
+    received_at: MonoTime,
+}
+
+/// The phase of a ledger that was given away; it grants nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct HandedOver {
+    successor: HomeAddress,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct MintBatch {
+    minted_at: MonoTime,
+    account: AccountName,
+    count: usize,
+}
+
+/// The error for tickets that cannot be minted.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum MintError {
+    /// The ledger is full until older tickets pass out of retention.
+    #[snafu(display("the ledger holds its most of {limit} tickets"))]
+    LedgerFull {
+        /// The most that it holds.
+        limit: usize,
+    },
+    /// The client account has too many tickets.
+    #[snafu(display("the client account holds its most of {limit} tickets"))]
+    AccountFull {
+        /// The most that one account holds.
+        limit: usize,
+    },
+}
+
+mod sealed {
+    pub trait Sealed {}
+    impl Sealed for super::Serving {}
+    impl Sealed for super::Inherited {}
+}
+
+/// A phase in which the ledger grants claims.
+pub trait Granting: sealed::Sealed {
+    /// The home's clock, given the clock of the core that holds the ledger.
+    fn home_time(&self, now: MonoTime) -> MonoTime;
+}
+
+impl Granting for Serving {
+    fn home_time(&self, now: MonoTime) -> MonoTime {
+        now
+    }
+}
+
+impl Granting for Inherited {
+    fn home_time(&self, now: MonoTime) -> MonoTime {
+        self.exported_at + now.since(self.received_at)
+    }
+}
+
+/// How a ticket without an entry stands.
+enum TicketAge {
+    Claimable,
+    Expired,
+    Forgotten,
+}
+
+impl<P> TicketLedger<P> {
+    /// The home whose tickets these are.
+    #[must_use]
+    pub fn home(&self) -> &HomeAddress {
+        &self.home
+    }
+
+    /// How many tickets are claimed or burned and still remembered.
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+}
+
+impl TicketLedger<Serving> {
+    /// An empty ledger for a core that has just started.
+    #[must_use]
+    pub fn open(home: HomeAddress, options: LedgerOptions) -> Self {
+        let entries = BTreeMap::new();
+        Self {
+            home,
+            options,
+            next_sequence: 0,
+            entries,
+            phase: Serving::default(),
+        }
+    }
+
+    /// Mints `count` tickets for a client account.
+    ///
+    /// # Errors
+    /// [`MintError`] if the ledger or the account would hold too many; none is minted then.
+    pub fn mint(
+        &mut self,
+        now: MonoTime,
+        account: &AccountName,
+        count: usize,
+    ) -> Result<Vec<DispatchTicket>, MintError> {
+        self.forget_old(now);
+        let LedgerOptions {
+            max_tickets,
+            max_account_tickets,
+            ..
+        } = self.options;
+        let held = self.phase.outstanding.get(account).copied().unwrap_or(0);
+        ensure!(
+            self.phase.total + count <= max_tickets,
+            LedgerFullSnafu { limit: max_tickets }
+        );
+        ensure!(
+            held + count <= max_account_tickets,
+            AccountFullSnafu {
+                limit: max_account_tickets
+            }
+        );
+        self.phase.total += count;
+        self.phase.outstanding.insert(account.clone(), held + count);
+        let batch = MintBatch {
+            minted_at: now,
+            account: account.clone(),
+            count,
+        };
+        self.phase.batches.push_back(batch);
+        let first = self.next_sequence;
+        self.next_sequence += count as u64;
+        let ticket = |sequence| DispatchTicket {
+            key: TicketKey {
+                home: self.home.clone(),
+                sequence,
+            },
+            account: account.clone(),
+            minted_at: now,
+        };
+        Ok((first..self.next_sequence).map(ticket).collect())
+    }
+
+    /// Gives the ledger away. What stays behind grants nothing.
+    #[must_use]
+    pub fn hand_over(
+        self,
+        now: MonoTime,
+        successor: HomeAddress,
+    ) -> (TicketLedger<HandedOver>, LedgerExport) {
+        let export = LedgerExport {
+            home: self.home.clone(),
+            next_sequence: self.next_sequence,
+            exported_at: now,
+            entries: self.entries,
+        };
+        let remains = TicketLedger {
+            home: self.home,
+            options: self.options,
+            next_sequence: self.next_sequence,
+            entries: BTreeMap::new(),
+            phase: HandedOver { successor },
+        };
+        (remains, export)
+    }
+
+    /// Drops what is past retention, so that memory stays bounded.
+    pub fn forget_old(&mut self, now: MonoTime) {
+        let keep = self.options.lifetime + self.options.retention;
+        while let Some(batch) = self.phase.batches.front() {
+            if batch.minted_at + keep >= now {
+                break;
+            }
+            if let Some(held) = self.phase.outstanding.get_mut(&batch.account) {
+                *held -= batch.count;
+            }
+            self.phase.total -= batch.count;
+            self.phase.batches.pop_front();
+        }
+        self.phase.outstanding.retain(|_, held| *held > 0);
+        self.forget_entries(now);
+    }
+}
+
+impl TicketLedger<Inherited> {
+    /// Carries on with a ledger that its home handed over.
+    #[must_use]
+    pub fn inherit(now: MonoTime, export: LedgerExport, options: LedgerOptions) -> Self {
+        let phase = Inherited {
+            exported_at: export.exported_at,
+            received_at: now,
+        };
+        let LedgerExport {
+            home,
+            next_sequence,
+            entries,
+            ..
+        } = export;
+        Self {
+            home,
+            options,
+            next_sequence,
+            entries,
+            phase,
+        }
+    }
+
+    /// Whether every ticket is past retention, so that the ledger can be dropped.
+    #[must_use]
+    pub fn is_spent(&self, now: MonoTime) -> bool {
+        let keep = self.options.lifetime + self.options.retention;
+        now.since(self.phase.received_at) > keep
+    }
+}
+
+impl TicketLedger<HandedOver> {
+    /// Where the ledger is now.
+    #[must_use]
+    pub fn successor(&self) -> &HomeAddress {
+        &self.phase.successor
+    }
+}
+
+impl<P: Granting> TicketLedger<P> {
+    /// Decides an attempt to claim a ticket. The same attempt gets the same verdict again.
+    pub fn claim(
+        &mut self,
+        now: MonoTime,
+        ticket: &DispatchTicket,
+        stub: &ClaimStub,
+    ) -> ClaimVerdict {
+        if !self.knows(&ticket.key) {
+            return ClaimVerdict::HomeGone;
+        }
+        match self.entries.get(&ticket.key.sequence) {
+            Some((_, TicketState::Claimed(holder))) if holder == stub => ClaimVerdict::Granted,
+            Some((_, TicketState::Claimed(holder))) => ClaimVerdict::HeldBy(holder.claimer.clone()),
+            Some((_, TicketState::Burned)) => ClaimVerdict::Burned,
+            None => match self.age(now, ticket) {
+                TicketAge::Claimable => {
+                    self.record(ticket, TicketState::Claimed(stub.clone()));
+                    ClaimVerdict::Granted
+                }
+                TicketAge::Expired => ClaimVerdict::Burned,
+                TicketAge::Forgotten => ClaimVerdict::Forgotten,
+            },
+        }
+    }
+
+    /// Decides an attempt to burn a ticket. A holder burns its own unused claim.
+    pub fn burn(
+        &mut self,
+        now: MonoTime,
+        ticket: &DispatchTicket,
+        stub: &ClaimStub,
+    ) -> BurnVerdict {
+        if !self.knows(&ticket.key) {
+            return BurnVerdict::HomeGone;
+        }
+        match self.entries.get(&ticket.key.sequence) {
+            Some((_, TicketState::Claimed(holder))) if holder != stub => {
+                BurnVerdict::HeldBy(holder.claimer.clone())
+            }
+            Some(_) => {
+                self.record(ticket, TicketState::Burned);
+                BurnVerdict::Burned
+            }
+            None => match self.age(now, ticket) {
+                TicketAge::Claimable => {
+                    self.record(ticket, TicketState::Burned);
+                    BurnVerdict::Burned
+                }
+                TicketAge::Expired => BurnVerdict::Burned,
+                TicketAge::Forgotten => BurnVerdict::Forgotten,
+            },
+        }
+    }
+
+    /// The core that holds a ticket, without changing anything.
+    #[must_use]
+    pub fn holder(&self, key: &TicketKey) -> Option<&HomeAddress> {
+        match self.entries.get(&key.sequence) {
+            Some((_, TicketState::Claimed(stub))) if self.knows(key) => Some(&stub.claimer),
+            _ => None,
+        }
+    }
+
+    /// Drops entries past retention; the tickets' times grow with their sequence numbers.
+    pub fn forget_entries(&mut self, now: MonoTime) {
+        let home_now = self.phase.home_time(now);
+        let keep = self.options.lifetime + self.options.retention;
+        while let Some(entry) = self.entries.first_entry() {
+            if entry.get().0 + keep >= home_now {
+                break;
+            }
+            entry.remove();
+        }
+    }
+
+    fn knows(&self, key: &TicketKey) -> bool {
+        key.home == self.home && key.sequence < self.next_sequence
+    }
+
+    fn record(&mut self, ticket: &DispatchTicket, state: TicketState) {
+        self.entries
+            .insert(ticket.key.sequence, (ticket.minted_at, state));
+    }
+
+    fn age(&self, now: MonoTime, ticket: &DispatchTicket) -> TicketAge {
+        let age = self.phase.home_time(now).since(ticket.minted_at);
+        let LedgerOptions {
+            lifetime,
+            retention,
+            ..
+        } = self.options;
+        if age <= lifetime {
+            TicketAge::Claimable
+        } else if age <= lifetime + retention {
+            TicketAge::Expired
+        } else {
+            TicketAge::Forgotten
+        }
+    }
+}
--- /dev/null
+++ b/kwg-decide/src/limit/load_gauge.rs
@@ -0,0 +1,35 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::LoadPermit;
+
+/// The work in flight at one target, in tokens, as far as this core sent it.
+///
+/// ```
+/// let gauge = kwg_decide::LoadGauge::default();
+/// let permit = gauge.acquire(40);
+/// assert_eq!(gauge.tokens(), 40);
+/// drop(permit);
+/// assert_eq!(gauge.tokens(), 0);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct LoadGauge(Arc<AtomicU64>);
+
+impl LoadGauge {
+    /// Counts work as in flight until the permit is dropped.
+    #[must_use]
+    pub fn acquire(&self, tokens: u64) -> LoadPermit {
+        self.0.fetch_add(tokens, Ordering::Relaxed);
+        LoadPermit::new(self.clone(), tokens)
+    }
+
+    /// The work in flight.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn release(&self, tokens: u64) {
+        self.0.fetch_sub(tokens, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/kwg-decide/src/placement.rs
@@ -0,0 +1,13 @@
+//! Which target runs a request.
+
+mod placement_options;
+mod placement_request;
+mod target_book;
+mod target_choice;
+mod target_health;
+
+pub use placement_options::PlacementOptions;
+pub use placement_request::PlacementRequest;
+pub use target_book::TargetBook;
+pub use target_choice::TargetChoice;
+pub use target_health::TargetHealth;
--- /dev/null
+++ b/kwg-decide/src/placement/placement_request.rs
@@ -0,0 +1,18 @@
+use kwg_model::{FleetSnapshot, MonoTime, PoolRow, RegionName};
+
+/// What placement looks at for one request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// The time now.
+    pub now: MonoTime,
+    /// The fleet as last published.
+    pub fleet: &'a FleetSnapshot,
+    /// The pool that serves the request.
+    pub pool: &'a PoolRow,
+    /// The region of this router.
+    pub region: &'a RegionName,
+    /// The expected work, in tokens.
+    pub cost_tokens: u64,
+    /// How many cores share the limit of each target.
+    pub share_of: u64,
+}
--- /dev/null
+++ b/kwg-decide/src/placement/target_book.rs
@@ -0,0 +1,143 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kwg_model::{FleetSnapshot, MonoTime, PoolName, PoolRow, TargetName, TargetRow};
+use rand::Rng;
+
+use super::{PlacementOptions, PlacementRequest, TargetChoice, TargetHealth};
+
+/// What one core knows of the targets that it uses, and the choice among them.
+#[derive(Debug, Default)]
+pub struct TargetBook {
+    options: PlacementOptions,
+    targets: HashMap<(PoolName, TargetName), TargetHealth>,
+}
+
+impl TargetBook {
+    /// A book that knows no target yet.
+    #[must_use]
+    pub fn new(options: PlacementOptions) -> Self {
+        Self {
+            options,
+            targets: HashMap::new(),
+        }
+    }
+
+    /// Chooses between two random targets of the pool that have room, by expected finish.
+    ///
+    /// A target with nothing
+    /// of this core in flight always has room for one request. `None` if none has room.
+    pub fn choose(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<TargetChoice> {
+        let pool = request.pool;
+        let ready: Vec<&TargetRow> = pool
+            .targets
+            .iter()
+            .filter(|row| self.has_room(request, row))
+            .collect();
+        let first = pick(&ready, rng)?;
+        let second = pick(&ready, rng)?;
+        let row = if self.expected(request, second) < self.expected(request, first) {
+            second
+        } else {
+            first
+        };
+        let permit = self
+            .health(pool, &row.name)
+            .gauge
+            .acquire(request.cost_tokens);
+        Some(TargetChoice {
+            pool: pool.name.clone(),
+            kind: pool.kind,
+            target: row.name.clone(),
+            address: row.address,
+            version: row.version.clone(),
+            permit,
+        })
+    }
+
+    /// Whether any target of the pool could take work once others have ended.
+    #[must_use]
+    pub fn is_pool_open(&self, fleet: &FleetSnapshot, pool: &PoolRow) -> bool {
+        pool.targets
+            .iter()
+            .any(|row| !fleet.leaving.contains(&row.name))
+    }
+
+    /// Notes that a target refused a connection: it gets no work for a while.
+    pub fn note_refusal(&mut self, now: MonoTime, pool: &PoolName, target: &TargetName) {
+        let pause = self.options.refusal_pause;
+        if let Some(health) = self.targets.get_mut(&(pool.clone(), target.clone())) {
+            health.paused_until = now + pause;
+        }
+    }
+
+    /// Notes a whole answer of `tokens` tokens that took `span`.
+    pub fn note_answer(
+        &mut self,
+        pool: &PoolName,
+        target: &TargetName,
+        tokens: u64,
+        span: Duration,
+    ) {
+        if let Some(health) = self.targets.get_mut(&(pool.clone(), target.clone())) {
+            health.observe(tokens, span);
+        }
+    }
+
+    /// When the next pause of a target ends, if one is under way.
+    #[must_use]
+    pub fn next_resumption(&self, now: MonoTime) -> Option<MonoTime> {
+        self.targets
+            .values()
+            .map(|health| health.paused_until)
+            .filter(|until| *until > now)
+            .min()
+    }
+
+    /// Drops what is known of targets that are in no table any more.
+    pub fn retain_known(&mut self, fleet: &FleetSnapshot) {
+        self.targets.retain(|(pool, target), _| {
+            let row = fleet.tables.pools.get(pool);
+            row.is_some_and(|row| row.targets.iter().any(|known| known.name == *target))
+        });
+    }
+
+    fn health(&mut self, pool: &PoolRow, target: &TargetName) -> &mut TargetHealth {
+        let speed = self.options.initial_tokens_per_second;
+        self.targets
+            .entry((pool.name.clone(), target.clone()))
+            .or_insert_with(|| TargetHealth::new(speed))
+    }
+
+    fn has_room(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> bool {
+        if request.fleet.leaving.contains(&row.name) || request.fleet.braked.contains(&row.version)
+        {
+            return false;
+        }
+        let share = row.limit_tokens / request.share_of.max(1);
+        let health = self.health(request.pool, &row.name);
+        let in_flight = health.gauge.tokens();
+        request.now >= health.paused_until
+            && (in_flight == 0 || in_flight + request.cost_tokens <= share)
+    }
+
+    fn expected(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> f64 {
+        let penalty = self.options.cross_region_penalty.as_secs_f64();
+        let distance = if row.region == *request.region {
+            0.0
+        } else {
+            penalty
+        };
+        self.health(request.pool, &row.name)
+            .expected_seconds(request.cost_tokens)
+            + distance
+    }
+}
+
+fn pick<'a>(rows: &[&'a TargetRow], rng: &mut impl Rng) -> Option<&'a TargetRow> {
+    (!rows.is_empty()).then(|| rows[rng.random_range(0..rows.len())])
+}
--- /dev/null
+++ b/kwg-decide/src/placement/target_health.rs
@@ -0,0 +1,38 @@
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use crate::LoadGauge;
+
+/// Weight of the newest sample in the moving average of a target's speed.
+const SPEED_WEIGHT: f64 = 0.2;
+
+/// What one core knows of one target from its own traffic.
+#[derive(Debug, Clone)]
+pub struct TargetHealth {
+    pub(super) gauge: LoadGauge,
+    pub(super) tokens_per_second: f64,
+    pub(super) paused_until: MonoTime,
+}
+
+impl TargetHealth {
+    pub(super) fn new(tokens_per_second: u64) -> Self {
+        Self {
+            gauge: LoadGauge::default(),
+            tokens_per_second: tokens_per_second as f64,
+            paused_until: MonoTime::ZERO,
+        }
+    }
+
+    /// Folds in the speed of an answer of `tokens` tokens that took `span`.
+    pub(super) fn observe(&mut self, tokens: u64, span: Duration) {
+        let seconds = span.as_secs_f64().max(0.001);
+        let sample = tokens as f64 / seconds;
+        self.tokens_per_second += SPEED_WEIGHT * (sample - self.tokens_per_second);
+    }
+
+    /// The expected time until `cost_tokens` more are done, in seconds.
+    pub(super) fn expected_seconds(&self, cost_tokens: u64) -> f64 {
+        (self.gauge.tokens() + cost_tokens) as f64 / self.tokens_per_second.max(1.0)
+    }
+}
--- /dev/null
+++ b/kwg-model/src/table_set.rs
@@ -0,0 +1,132 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
+
+use crate::{PoolName, PoolRow, RouteName, RouteRow, TargetName};
+
+/// The route and the pool table at one revision.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct TableSet {
+    /// Grows with every accepted change; zero before the first.
+    pub revision: u64,
+    /// Identifies the accepted change, so that a lost answer is settled by reading.
+    #[serde(default)]
+    pub change_id: String,
+    /// Who made the change.
+    #[serde(default)]
+    pub editor: String,
+    /// The route table.
+    pub routes: BTreeMap<RouteName, RouteRow>,
+    /// The pool table.
+    pub pools: BTreeMap<PoolName, PoolRow>,
+}
+
+/// The error for tables that do not fit together.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum TableError {
+    /// A route names a pool that is not in the pool table.
+    #[snafu(display("route '{route}': unknown pool '{pool}'"))]
+    UnknownPool {
+        /// The route at fault.
+        route: RouteName,
+        /// The pool it names.
+        pool: PoolName,
+    },
+    /// A pool has no target.
+    #[snafu(display("pool '{pool}': no targets"))]
+    NoTarget {
+        /// The pool at fault.
+        pool: PoolName,
+    },
+    /// No target of the pool serves the pool's version.
+    #[snafu(display("pool '{pool}': no target serves version '{version}'"))]
+    NoEngine {
+        /// The pool at fault.
+        pool: PoolName,
+        /// The version that nobody serves.
+        version: String,
+    },
+    /// Two targets share a name, which would let a stream be looked for at the wrong one.
+    #[snafu(display("pool '{pool}': target '{target}' is named twice"))]
+    DuplicateTarget {
+        /// The pool at fault.
+        pool: PoolName,
+        /// The target's name.
+        target: TargetName,
+    },
+    /// A limit of zero tokens would stop the target for ever.
+    #[snafu(display("pool '{pool}': target '{target}': limit_tokens must be at least 1"))]
+    ZeroLimit {
+        /// The pool at fault.
+        pool: PoolName,
+        /// The target at fault.
+        target: TargetName,
+    },
+}
+
+impl TableSet {
+    /// Checks the two tables as a whole.
+    ///
+    /// # Errors
+    /// The first [`TableError`] found, in the order of names.
+    ///
+    /// ```
+    /// assert!(kwg_model::TableSet::default().check().is_ok());
+    /// ```
+    pub fn check(&self) -> Result<(), TableError> {
+        for pool in self.pools.values() {
+            check_pool(pool)?;
+        }
+        for route in self.routes.values() {
+            let known = self.pools.contains_key(&route.pool);
+            ensure!(
+                known,
+                UnknownPoolSnafu {
+                    route: route.name.clone(),
+                    pool: route.pool.clone()
+                }
+            );
+        }
+        Ok(())
+    }
+
+    /// The pool behind a route.
+    #[must_use]
+    pub fn pool_of(&self, route: &RouteRow) -> Option<&PoolRow> {
+        self.pools.get(&route.pool)
+    }
+}
+
+fn check_pool(pool: &PoolRow) -> Result<(), TableError> {
+    ensure!(
+        !pool.targets.is_empty(),
+        NoTargetSnafu {
+            pool: pool.name.clone()
+        }
+    );
+    let mut names = BTreeSet::new();
+    for target in &pool.targets {
+        let names_of = || (pool.name.clone(), target.name.clone());
+        if !names.insert(&target.name) {
+            let (pool, target) = names_of();
+            return DuplicateTargetSnafu { pool, target }.fail();
+        }
+        if target.limit_tokens == 0 {
+            let (pool, target) = names_of();
+            return ZeroLimitSnafu { pool, target }.fail();
+        }
+    }
+    let served = pool
+        .targets
+        .iter()
+        .any(|target| target.version == pool.version);
+    ensure!(
+        served,
+        NoEngineSnafu {
+            pool: pool.name.clone(),
+            version: pool.version.as_str()
+        }
+    );
+    Ok(())
+}
--- /dev/null
+++ b/kwg-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
