--- /dev/null
+++ b/knapweedglade/src/arguments.rs
@@ -0,0 +1,66 @@
+use std::fmt::Display;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use crate::CommandError;
+use crate::command_error::{UsageSnafu, usage};
+
+/// The command line, taken apart step by step; what is left over in the end is an error.
+#[derive(Debug)]
+pub(crate) struct Arguments(pico_args::Arguments);
+
+impl Arguments {
+    pub(crate) fn from_env() -> Self {
+        Self(pico_args::Arguments::from_env())
+    }
+
+    /// The next word, if it is no option.
+    pub(crate) fn subcommand(&mut self) -> Result<Option<String>, CommandError> {
+        self.0.subcommand().map_err(wrong)
+    }
+
+    pub(crate) fn wants_help(&mut self) -> bool {
+        self.0.contains(["-h", "--help"])
+    }
+
+    /// An option that must be given.
+    pub(crate) fn required<T: FromStr>(&mut self, name: &'static str) -> Result<T, CommandError>
+    where
+        T::Err: Display,
+    {
+        self.0.value_from_str(name).map_err(wrong)
+    }
+
+    /// An option that may be given.
+    pub(crate) fn optional<T: FromStr>(
+        &mut self,
+        name: &'static str,
+    ) -> Result<Option<T>, CommandError>
+    where
+        T::Err: Display,
+    {
+        self.0.opt_value_from_str(name).map_err(wrong)
+    }
+
+    /// Every other word, as file names; options among them are an error.
+    pub(crate) fn files(&mut self) -> Result<Vec<PathBuf>, CommandError> {
+        let rest = std::mem::replace(&mut self.0, pico_args::Arguments::from_vec(Vec::new()));
+        let rest = rest.finish();
+        match rest.iter().find(|word| word.to_string_lossy().starts_with('-')) {
+            Some(option) => usage(format!("unknown option {}", option.to_string_lossy())),
+            None => Ok(rest.into_iter().map(PathBuf::from).collect()),
+        }
+    }
+
+    /// Checks that nothing is left over.
+    pub(crate) fn finish(&mut self) -> Result<(), CommandError> {
+        match self.files()?.first() {
+            Some(word) => usage(format!("unexpected '{}'", word.display())),
+            None => Ok(()),
+        }
+    }
+}
+
+fn wrong(error: impl Display) -> CommandError {
+    UsageSnafu { reason: error.to_string() }.build()
+}
--- /dev/null
+++ b/knapweedglade/src/command/check.rs
@@ -0,0 +1,42 @@
+use kwg_settings::{RouterSettings, TableFiles};
+use snafu::ResultExt;
+
+use crate::arguments::Arguments;
+use crate::command_error::{CommandError, IniSnafu, usage};
+
+const HELP: &str = "\
+Check settings or tables; nothing is started and nothing is changed.
+
+USAGE: knapweedglade check [--settings FILE] [--routes FILE --pools FILE]
+
+OPTIONS:
+  --settings FILE   a router's settings
+  --routes FILE     the route table
+  --pools FILE      the pool table
+";
+
+pub(crate) fn run(arguments: &mut Arguments) -> Result<(), CommandError> {
+    if arguments.wants_help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let settings: Option<String> = arguments.optional("--settings")?;
+    let routes: Option<String> = arguments.optional("--routes")?;
+    let pools: Option<String> = arguments.optional("--pools")?;
+    arguments.finish()?;
+    if let Some(file) = &settings {
+        let settings = RouterSettings::load(file).context(IniSnafu)?;
+        println!("{file}: settings of router '{}' are valid", settings.name);
+    }
+    match (routes, pools) {
+        (Some(routes), Some(pools)) => {
+            let tables = TableFiles::load(routes, pools).context(IniSnafu)?;
+            let (routes, pools) = (tables.routes.len(), tables.pools.len());
+            println!("tables are valid: {routes} routes, {pools} pools");
+            Ok(())
+        }
+        (None, None) if settings.is_some() => Ok(()),
+        (None, None) => usage("nothing to check: give --settings, or --routes and --pools"),
+        _ => usage("--routes and --pools are checked together"),
+    }
+}
--- /dev/null
+++ b/knapweedglade/src/command/tables.rs
@@ -0,0 +1,155 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_io::block_on;
+use http_types::{Method, StatusCode};
+use kwg_clock::ClockHandle;
+use kwg_http::CallClient;
+use kwg_model::{InstanceKind, TableSet};
+use kwg_platform::{ConfigStore, EditOutcome, EditRequest, ListClient, TableClient, TableReading};
+use kwg_settings::TableFiles;
+use kwg_telemetry::HybridClock;
+use rand::random;
+use snafu::ResultExt;
+
+use crate::arguments::Arguments;
+use crate::command_error::{
+    CommandError, FileSnafu, IniSnafu, LostSnafu, PlatformSnafu, UnsettledSnafu, usage,
+};
+
+/// How long one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+const HELP: &str = "\
+Show, edit and follow the two tables: routes, and the pools that they name.
+
+USAGE: knapweedglade tables show   --tables ADDRESS [--dir DIR]
+       knapweedglade tables put    --tables ADDRESS --routes FILE --pools FILE
+                                   [--editor NAME] [--base REVISION]
+       knapweedglade tables status --tables ADDRESS --instances ADDRESS
+
+  show     print both tables, or write DIR/routes.ini and DIR/pools.ini
+  put      replace both tables; with --base only if that revision is still in place
+  status   the accepted revision, and what is in force on each router
+
+EXIT CODES: 4 if somebody else's edit came first, 5 if the service did not answer
+";
+
+pub(crate) fn run(arguments: &mut Arguments) -> Result<(), CommandError> {
+    if arguments.wants_help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let command = arguments.subcommand()?;
+    match command.as_deref() {
+        Some("show") => show(arguments),
+        Some("put") => put(arguments),
+        Some("status") => status(arguments),
+        _ => usage("what about the tables? 'show', 'put' or 'status'"),
+    }
+}
+
+fn show(arguments: &mut Arguments) -> Result<(), CommandError> {
+    let store = store(arguments.required("--tables")?);
+    let dir: Option<PathBuf> = arguments.optional("--dir")?;
+    arguments.finish()?;
+    let tables = read(&store)?.tables;
+    println!("# revision {} by '{}' at {}", tables.revision, tables.editor, when(&tables));
+    let (routes, pools) = (TableFiles::routes_text(&tables), TableFiles::pools_text(&tables));
+    let Some(dir) = dir else {
+        print!("# routes\n{routes}# pools\n{pools}");
+        return Ok(());
+    };
+    for (name, text) in [("routes.ini", routes), ("pools.ini", pools)] {
+        let path = dir.join(name);
+        let shown = path.display().to_string();
+        std::fs::write(&path, text).context(FileSnafu { path: &shown })?;
+        println!("wrote {shown}");
+    }
+    Ok(())
+}
+
+fn put(arguments: &mut Arguments) -> Result<(), CommandError> {
+    let store = store(arguments.required("--tables")?);
+    let routes: PathBuf = arguments.required("--routes")?;
+    let pools: PathBuf = arguments.required("--pools")?;
+    let editor: Option<String> = arguments.optional("--editor")?;
+    let base: Option<u64> = arguments.optional("--base")?;
+    arguments.finish()?;
+    let tables = TableFiles::load(routes, pools).context(IniSnafu)?;
+    let reading = read(&store)?;
+    if base.is_some_and(|base| base != reading.tables.revision) {
+        return lost(&reading.tables);
+    }
+    let editor = editor.or_else(|| std::env::var("USER").ok());
+    let request = EditRequest {
+        change_id: format!("{:016x}", random::<u64>()),
+        editor: editor.unwrap_or_else(|| "unnamed".to_owned()),
+        edited_at_ms: HybridClock::wall_millis(),
+    };
+    let outcome = block_on(store.edit(&reading, tables, &request)).context(PlatformSnafu)?;
+    match outcome {
+        EditOutcome::Accepted { revision } => {
+            println!("accepted as revision {revision}, change {}", request.change_id);
+            Ok(())
+        }
+        EditOutcome::Lost { revision, editor, edited_at_ms } => {
+            lost(&TableSet { revision, editor, edited_at_ms, ..TableSet::default() })
+        }
+        EditOutcome::Unsettled { reason } => {
+            UnsettledSnafu { change_id: request.change_id, reason }.fail()
+        }
+    }
+}
+
+fn status(arguments: &mut Arguments) -> Result<(), CommandError> {
+    let store = store(arguments.required("--tables")?);
+    let instances: SocketAddr = arguments.required("--instances")?;
+    arguments.finish()?;
+    let tables = read(&store)?.tables;
+    println!("accepted: revision {} by '{}' at {}", tables.revision, tables.editor, when(&tables));
+    let list = ListClient::new(client(instances));
+    let rows = block_on(list.read()).context(PlatformSnafu)?.rows;
+    for row in rows.iter().filter(|row| row.kind == InstanceKind::Router) {
+        let Some(admin) = row.admin else {
+            println!("{}: the instance list has no admin address", row.name);
+            continue;
+        };
+        match block_on(read_status(admin)) {
+            Some(page) => println!("{}: {page}", row.name),
+            None => println!("{}: no answer from {admin}", row.name),
+        }
+    }
+    Ok(())
+}
+
+async fn read_status(admin: SocketAddr) -> Option<String> {
+    let client = client(admin);
+    let request = client.request(Method::Get, "/status").ok()?;
+    let reply = client.call(request).await.ok()?;
+    (reply.status == StatusCode::Ok).then(|| String::from_utf8_lossy(&reply.body).into_owned())
+}
+
+fn lost<T>(tables: &TableSet) -> Result<T, CommandError> {
+    let (revision, editor) = (tables.revision, tables.editor.clone());
+    LostSnafu { revision, editor, when: when(tables) }.fail()
+}
+
+/// When the tables were edited, as a date.
+fn when(tables: &TableSet) -> String {
+    let at: SystemTime = UNIX_EPOCH + Duration::from_millis(tables.edited_at_ms);
+    humantime::format_rfc3339_seconds(at).to_string()
+}
+
+fn client(address: SocketAddr) -> CallClient {
+    CallClient::new(address, CALL_TIMEOUT, ClockHandle::system())
+}
+
+fn store(tables: SocketAddr) -> ConfigStore {
+    ConfigStore::new(TableClient::new(client(tables)), ClockHandle::system())
+}
+
+fn read(store: &ConfigStore) -> Result<TableReading, CommandError> {
+    block_on(store.read()).context(PlatformSnafu)
+}
--- a/kwg-clock/src/clock_handle.rs
+++ b/kwg-clock/src/clock_handle.rs
@@ -31,9 +31,7 @@
     /// A clock that starts now and follows the system's monotonic clock.
     #[must_use]
     pub fn system() -> Self {
-        Self(ClockSource::System {
-            start: Instant::now(),
-        })
+        Self(ClockSource::System { start: Instant::now() })
     }
 
     /// A clock that a test advances.
--- a/kwg-clock/src/manual_clock.rs
+++ b/kwg-clock/src/manual_clock.rs
@@ -33,10 +33,7 @@
         let mut state = self.state();
         state.now = state.now + span;
         let now = state.now;
-        let (due, waiting) = state
-            .sleepers
-            .drain(..)
-            .partition(|(deadline, _)| *deadline <= now);
+        let (due, waiting) = state.sleepers.drain(..).partition(|(deadline, _)| *deadline <= now);
         state.sleepers = waiting;
         drop(state);
         let due: Vec<(MonoTime, Waker)> = due;
--- a/kwg-decide/src/ledger/ticket_ledger.rs
+++ b/kwg-decide/src/ledger/ticket_ledger.rs
@@ -132,13 +132,7 @@
     #[must_use]
     pub fn open(home: HomeAddress, options: LedgerOptions) -> Self {
         let entries = BTreeMap::new();
-        Self {
-            home,
-            options,
-            next_sequence: 0,
-            entries,
-            phase: Serving::default(),
-        }
+        Self { home, options, next_sequence: 0, entries, phase: Serving::default() }
     }
 
     /// Mints `count` tickets for a client account.
@@ -152,66 +146,27 @@
         count: usize,
     ) -> Result<Vec<DispatchTicket>, MintError> {
         self.forget_old(now);
-        let LedgerOptions {
-            max_tickets,
-            max_account_tickets,
-            ..
-        } = self.options;
+        let LedgerOptions { max_tickets, max_account_tickets, .. } = self.options;
         let held = self.phase.outstanding.get(account).copied().unwrap_or(0);
-        ensure!(
-            self.phase.total + count <= max_tickets,
-            LedgerFullSnafu { limit: max_tickets }
-        );
+        ensure!(self.phase.total + count <= max_tickets, LedgerFullSnafu { limit: max_tickets });
         ensure!(
             held + count <= max_account_tickets,
-            AccountFullSnafu {
-                limit: max_account_tickets
-            }
+            AccountFullSnafu { limit: max_account_tickets }
         );
         self.phase.total += count;
         self.phase.outstanding.insert(account.clone(), held + count);
-        let batch = MintBatch {
-            minted_at: now,
-            account: account.clone(),
-            count,
-        };
+        let batch = MintBatch { minted_at: now, account: account.clone(), count };
         self.phase.batches.push_back(batch);
         let first = self.next_sequence;
         self.next_sequence += count as u64;
         let ticket = |sequence| DispatchTicket {
-            key: TicketKey {
-                home: self.home.clone(),
-                sequence,
-            },
+            key: TicketKey { home: self.home.clone(), sequence },
             account: account.clone(),
             minted_at: now,
         };
         Ok((first..self.next_sequence).map(ticket).collect())
     }
 
-    /// Gives the ledger away. What stays behind grants nothing.
-    #[must_use]
-    pub fn hand_over(
-        self,
-        now: MonoTime,
-        successor: HomeAddress,
-    ) -> (TicketLedger<HandedOver>, LedgerExport) {
-        let export = LedgerExport {
-            home: self.home.clone(),
-            next_sequence: self.next_sequence,
-            exported_at: now,
-            entries: self.entries,
-        };
-        let remains = TicketLedger {
-            home: self.home,
-            options: self.options,
-            next_sequence: self.next_sequence,
-            entries: BTreeMap::new(),
-            phase: HandedOver { successor },
-        };
-        (remains, export)
-    }
-
     /// Drops what is past retention, so that memory stays bounded.
     pub fn forget_old(&mut self, now: MonoTime) {
         let keep = self.options.lifetime + self.options.retention;
@@ -234,23 +189,9 @@
     /// Carries on with a ledger that its home handed over.
     #[must_use]
     pub fn inherit(now: MonoTime, export: LedgerExport, options: LedgerOptions) -> Self {
-        let phase = Inherited {
-            exported_at: export.exported_at,
-            received_at: now,
-        };
-        let LedgerExport {
-            home,
-            next_sequence,
-            entries,
-            ..
-        } = export;
-        Self {
-            home,
-            options,
-            next_sequence,
-            entries,
-            phase,
-        }
+        let phase = Inherited { exported_at: export.exported_at, received_at: now };
+        let LedgerExport { home, next_sequence, entries, .. } = export;
+        Self { home, options, next_sequence, entries, phase }
     }
 
     /// Whether every ticket is past retention, so that the ledger can be dropped.
@@ -270,6 +211,29 @@
 }
 
 impl<P: Granting> TicketLedger<P> {
+    /// Gives the ledger away. What stays behind grants nothing.
+    #[must_use]
+    pub fn hand_over(
+        self,
+        now: MonoTime,
+        successor: HomeAddress,
+    ) -> (TicketLedger<HandedOver>, LedgerExport) {
+        let export = LedgerExport {
+            home: self.home.clone(),
+            next_sequence: self.next_sequence,
+            exported_at: self.phase.home_time(now),
+            entries: self.entries,
+        };
+        let remains = TicketLedger {
+            home: self.home,
+            options: self.options,
+            next_sequence: self.next_sequence,
+            entries: BTreeMap::new(),
+            phase: HandedOver { successor },
+        };
+        (remains, export)
+    }
+
     /// Decides an attempt to claim a ticket. The same attempt gets the same verdict again.
     pub fn claim(
         &mut self,
@@ -350,17 +314,12 @@
     }
 
     fn record(&mut self, ticket: &DispatchTicket, state: TicketState) {
-        self.entries
-            .insert(ticket.key.sequence, (ticket.minted_at, state));
+        self.entries.insert(ticket.key.sequence, (ticket.minted_at, state));
     }
 
     fn age(&self, now: MonoTime, ticket: &DispatchTicket) -> TicketAge {
         let age = self.phase.home_time(now).since(ticket.minted_at);
-        let LedgerOptions {
-            lifetime,
-            retention,
-            ..
-        } = self.options;
+        let LedgerOptions { lifetime, retention, .. } = self.options;
         if age <= lifetime {
             TicketAge::Claimable
         } else if age <= lifetime + retention {
--- a/kwg-decide/src/lib.rs
+++ b/kwg-decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod ledger;
 mod limit;
+mod membership;
 mod placement;
 mod queue;
 
@@ -13,5 +14,6 @@
     PendingClaim, Serving, TicketLedger,
 };
 pub use limit::{LoadGauge, LoadPermit};
+pub use membership::{InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState, RosterOptions};
 pub use placement::{PlacementOptions, PlacementRequest, TargetBook, TargetChoice, TargetHealth};
 pub use queue::{QueueEntry, QueueKey, QueueOptions, QueueVerdict, TierQueue};
--- /dev/null
+++ b/kwg-decide/src/membership.rs
@@ -0,0 +1,11 @@
+//! Who is there: routers by heartbeats and gossip, everything by the platform's lagging list.
+
+mod instance_book;
+mod peer_graph;
+mod peer_record;
+mod peer_roster;
+
+pub use instance_book::InstanceBook;
+pub use peer_graph::PeerGraph;
+pub use peer_record::{PeerRecord, PeerState};
+pub use peer_roster::{PeerRoster, RosterOptions};
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -17,10 +17,7 @@
     /// A book that knows no target yet.
     #[must_use]
     pub fn new(options: PlacementOptions) -> Self {
-        Self {
-            options,
-            targets: HashMap::new(),
-        }
+        Self { options, targets: HashMap::new() }
     }
 
     /// Chooses between two random targets of the pool that have room, by expected finish.
@@ -33,11 +30,8 @@
         rng: &mut impl Rng,
     ) -> Option<TargetChoice> {
         let pool = request.pool;
-        let ready: Vec<&TargetRow> = pool
-            .targets
-            .iter()
-            .filter(|row| self.has_room(request, row))
-            .collect();
+        let ready: Vec<&TargetRow> =
+            pool.targets.iter().filter(|row| self.has_room(request, row)).collect();
         let first = pick(&ready, rng)?;
         let second = pick(&ready, rng)?;
         let row = if self.expected(request, second) < self.expected(request, first) {
@@ -45,10 +39,7 @@
         } else {
             first
         };
-        let permit = self
-            .health(pool, &row.name)
-            .gauge
-            .acquire(request.cost_tokens);
+        let permit = self.health(pool, &row.name).gauge.acquire(request.cost_tokens);
         Some(TargetChoice {
             pool: pool.name.clone(),
             kind: pool.kind,
@@ -62,9 +53,7 @@
     /// Whether any target of the pool could take work once others have ended.
     #[must_use]
     pub fn is_pool_open(&self, fleet: &FleetSnapshot, pool: &PoolRow) -> bool {
-        pool.targets
-            .iter()
-            .any(|row| !fleet.leaving.contains(&row.name))
+        pool.targets.iter().any(|row| !fleet.leaving.contains(&row.name))
     }
 
     /// Notes that a target refused a connection: it gets no work for a while.
@@ -91,11 +80,7 @@
     /// When the next pause of a target ends, if one is under way.
     #[must_use]
     pub fn next_resumption(&self, now: MonoTime) -> Option<MonoTime> {
-        self.targets
-            .values()
-            .map(|health| health.paused_until)
-            .filter(|until| *until > now)
-            .min()
+        self.targets.values().map(|health| health.paused_until).filter(|until| *until > now).min()
     }
 
     /// Drops what is known of targets that are in no table any more.
@@ -127,14 +112,8 @@
 
     fn expected(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> f64 {
         let penalty = self.options.cross_region_penalty.as_secs_f64();
-        let distance = if row.region == *request.region {
-            0.0
-        } else {
-            penalty
-        };
-        self.health(request.pool, &row.name)
-            .expected_seconds(request.cost_tokens)
-            + distance
+        let distance = if row.region == *request.region { 0.0 } else { penalty };
+        self.health(request.pool, &row.name).expected_seconds(request.cost_tokens) + distance
     }
 }
 
--- a/kwg-decide/src/queue/tier_queue.rs
+++ b/kwg-decide/src/queue/tier_queue.rs
@@ -21,10 +21,7 @@
 
 impl Default for QueueOptions {
     fn default() -> Self {
-        Self {
-            max_tokens: 400_000,
-            max_entries: 4_096,
-        }
+        Self { max_tokens: 400_000, max_entries: 4_096 }
     }
 }
 
@@ -121,10 +118,7 @@
     /// The work that waits in a tier and above it, in tokens.
     #[must_use]
     pub fn tokens_ahead(&self, tier: ServiceTier) -> u64 {
-        self.tiers[..=tier.index()]
-            .iter()
-            .map(|lanes| lanes.tokens)
-            .sum()
+        self.tiers[..=tier.index()].iter().map(|lanes| lanes.tokens).sum()
     }
 
     /// Queues an entry, shedding lower tiers, newest first, if that makes room.
@@ -147,29 +141,19 @@
         QueueVerdict::Accepted(shed)
     }
 
-    /// Takes the next entry in order for which `admits` holds.
+    /// Takes the next entry if `admits` holds for it.
     ///
-    /// Within a tier the lane with the least service goes first; an entry that is not admitted
-    /// holds up its own lane only.
-    pub fn pop(&mut self, mut admits: impl FnMut(&QueueEntry<T>) -> bool) -> Option<QueueEntry<T>> {
-        for tier in 0..ServiceTier::COUNT {
-            let mut order: Vec<(u64, AccountName)> = self.tiers[tier]
-                .lanes
-                .iter()
-                .map(|(account, lane)| (lane.tag, account.clone()))
-                .collect();
-            order.sort();
-            for (_, account) in order {
-                let Some(key) = self.lane_head(tier, &account) else {
-                    continue;
-                };
-                if admits(&self.entries[key]) {
-                    self.charge(tier, &account, self.entries[key].cost_tokens);
-                    return self.remove(key);
-                }
-            }
+    /// The next entry is the oldest of the account with the least service in the highest tier
+    /// that waits. Nothing overtakes an entry that is not admitted, so a large urgent request
+    /// is not starved by small routine ones.
+    pub fn pop(&mut self, admits: impl FnOnce(&QueueEntry<T>) -> bool) -> Option<QueueEntry<T>> {
+        let tier = (0..ServiceTier::COUNT).find(|tier| self.tiers[*tier].count > 0)?;
+        let (account, key) = self.next_in_tier(tier)?;
+        if !admits(&self.entries[key]) {
+            return None;
         }
-        None
+        self.charge(tier, &account, self.entries[key].cost_tokens);
+        self.remove(key)
     }
 
     /// Takes every entry whose deadline has passed.
@@ -196,13 +180,7 @@
     }
 
     fn insert(&mut self, entry: QueueEntry<T>) {
-        let QueueEntry {
-            tier,
-            account,
-            cost_tokens,
-            deadline,
-            ..
-        } = &entry;
+        let QueueEntry { tier, account, cost_tokens, deadline, .. } = &entry;
         let (cost, deadline, account) = (*cost_tokens, *deadline, account.clone());
         let lanes = &mut self.tiers[tier.index()];
         lanes.tokens += cost;
@@ -217,17 +195,21 @@
         self.deadlines.insert((deadline, key));
     }
 
-    /// The oldest live entry of a lane; keys of removed entries are dropped on the way.
-    fn lane_head(&mut self, tier: usize, account: &AccountName) -> Option<QueueKey> {
-        let lane = self.tiers[tier].lanes.get_mut(account)?;
-        while let Some(key) = lane.keys.front() {
-            if self.entries.contains_key(*key) {
-                return Some(*key);
+    /// The oldest live entry of the lane with the least service.
+    fn next_in_tier(&mut self, tier: usize) -> Option<(AccountName, QueueKey)> {
+        let entries = &self.entries;
+        let TierLanes { lanes, virtual_time, .. } = &mut self.tiers[tier];
+        lanes.retain(|_, lane| {
+            while lane.keys.front().is_some_and(|key| !entries.contains_key(*key)) {
+                lane.keys.pop_front();
             }
-            lane.keys.pop_front();
-        }
-        self.tiers[tier].lanes.remove(account);
-        None
+            // An idle account keeps its tag while that is ahead, or it could gain by pausing.
+            !lane.keys.is_empty() || lane.tag > *virtual_time
+        });
+        let waiting = lanes
+            .iter()
+            .filter_map(|(account, lane)| Some((lane.tag, account, lane.keys.front()?)));
+        waiting.min_by_key(|(tag, ..)| *tag).map(|(_, account, key)| (account.clone(), *key))
     }
 
     fn charge(&mut self, tier: usize, account: &AccountName, cost_tokens: u64) {
@@ -257,12 +239,7 @@
         let newest = self.tiers[lowest]
             .lanes
             .values()
-            .filter_map(|lane| {
-                lane.keys
-                    .iter()
-                    .rev()
-                    .find(|key| self.entries.contains_key(**key))
-            })
+            .filter_map(|lane| lane.keys.iter().rev().find(|key| self.entries.contains_key(**key)))
             .copied()
             .max()?;
         self.remove(newest)
--- /dev/null
+++ b/kwg-flow/src/answer/answer_reader.rs
@@ -0,0 +1,50 @@
+use kwg_model::{HomeAddress, ResumeToken};
+
+use super::AnswerNote;
+use super::answer_buffer::AnswerBuffer;
+use crate::CallerKey;
+
+/// Who reads an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ReaderAddress {
+    /// A caller of this router.
+    Caller(CallerKey),
+    /// Another router, for a caller of its own.
+    Peer(HomeAddress),
+}
+
+/// One reader and how far it has read.
+#[derive(Debug)]
+pub(crate) struct AnswerReader {
+    pub(crate) address: ReaderAddress,
+    pub(crate) offset: u64,
+    pub(crate) has_head: bool,
+}
+
+impl AnswerReader {
+    pub(crate) fn new(address: ReaderAddress, offset: u64) -> Self {
+        Self { address, offset, has_head: false }
+    }
+
+    /// What this reader has not been given yet.
+    pub(super) fn catch_up(
+        &mut self,
+        buffer: &AnswerBuffer,
+        token: Option<&ResumeToken>,
+    ) -> Vec<AnswerNote> {
+        let mut notes = Vec::new();
+        if let (false, Some(token)) = (self.has_head, token) {
+            self.has_head = true;
+            notes.push(AnswerNote::Head(token.clone()));
+        }
+        if let Some(chunk) = buffer.read_from(self.offset) {
+            let offset = self.offset;
+            self.offset += chunk.len() as u64;
+            notes.push(AnswerNote::Part { offset, chunk });
+        }
+        if let Some(length) = buffer.end() {
+            notes.push(AnswerNote::End { length });
+        }
+        notes
+    }
+}
--- /dev/null
+++ b/kwg-flow/src/answer/answer_record.rs
@@ -0,0 +1,99 @@
+use kwg_model::{AccountName, CallOutcome, HomeAddress, PoolName, ResumeToken, TicketKey};
+
+use super::answer_buffer::AnswerBuffer;
+use super::{AnswerNote, AnswerReader, ReaderAddress};
+use crate::{CallerReply, TrafficMessage, TrafficOutput};
+
+/// How an answer comes about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum AnswerStage {
+    /// The request waits here for room or for its claim.
+    Waiting,
+    /// This core dispatched the request.
+    Running,
+    /// Another core runs the request and relays its answer.
+    Joined(HomeAddress),
+    /// The core that ran the request is gone; the answer is resumed from its target.
+    Resuming,
+    /// The answer is whole.
+    Ended,
+}
+
+/// One answer and its readers.
+#[derive(Debug)]
+pub(crate) struct AnswerRecord {
+    pub(crate) account: AccountName,
+    pub(crate) pool: PoolName,
+    pub(crate) non_idempotent: bool,
+    pub(crate) stage: AnswerStage,
+    pub(crate) token: Option<ResumeToken>,
+    pub(crate) buffer: AnswerBuffer,
+    /// The length when a joined answer was last checked for progress.
+    pub(crate) checked_length: u64,
+    pub(crate) readers: Vec<AnswerReader>,
+}
+
+impl AnswerRecord {
+    pub(crate) fn new(account: AccountName, pool: PoolName, non_idempotent: bool) -> Self {
+        Self {
+            account,
+            pool,
+            non_idempotent,
+            stage: AnswerStage::Waiting,
+            token: None,
+            buffer: AnswerBuffer::default(),
+            checked_length: 0,
+            readers: Vec::new(),
+        }
+    }
+
+    /// Adds a reader, or moves one that asks again.
+    pub(crate) fn attach(&mut self, address: ReaderAddress, offset: u64) {
+        self.readers.retain(|reader| reader.address != address);
+        self.readers.push(AnswerReader::new(address, offset));
+    }
+
+    /// Drops a reader; whether it was there.
+    pub(crate) fn detach(&mut self, address: &ReaderAddress) -> bool {
+        let before = self.readers.len();
+        self.readers.retain(|reader| reader.address != *address);
+        self.readers.len() < before
+    }
+
+    /// Brings every reader up to date; readers of a whole answer leave.
+    pub(crate) fn deliver(&mut self, key: &TicketKey, outputs: &mut Vec<TrafficOutput>) {
+        for reader in &mut self.readers {
+            for note in reader.catch_up(&self.buffer, self.token.as_ref()) {
+                outputs.push(address_note(&reader.address, key, note));
+            }
+        }
+        if self.buffer.end().is_some() {
+            self.readers.clear();
+        }
+    }
+
+    /// Tells every reader that there will be no whole answer.
+    pub(crate) fn fail(
+        &mut self,
+        key: &TicketKey,
+        outcome: CallOutcome,
+        outputs: &mut Vec<TrafficOutput>,
+    ) {
+        for reader in self.readers.drain(..) {
+            outputs.push(address_note(&reader.address, key, AnswerNote::Failed(outcome)));
+        }
+    }
+}
+
+fn address_note(address: &ReaderAddress, key: &TicketKey, note: AnswerNote) -> TrafficOutput {
+    match address {
+        ReaderAddress::Caller(caller) => {
+            let reply = CallerReply::Answer { key: key.clone(), note };
+            TrafficOutput::Reply { caller: *caller, reply }
+        }
+        ReaderAddress::Peer(peer) => {
+            let message = TrafficMessage::Answer { key: key.clone(), note };
+            TrafficOutput::Send { to: peer.clone(), message }
+        }
+    }
+}
--- /dev/null
+++ b/kwg-flow/src/control.rs
@@ -0,0 +1,16 @@
+//! The control core: tables, membership and what the traffic cores see of them.
+
+mod control_core;
+mod control_event;
+mod control_input;
+mod control_message;
+mod control_options;
+mod control_output;
+mod read_schedule;
+
+pub use control_core::ControlCore;
+pub use control_event::ControlEvent;
+pub use control_input::ControlInput;
+pub use control_message::{ControlMessage, Heartbeat};
+pub use control_options::ControlOptions;
+pub use control_output::{ControlOutput, ControlStatus};
--- /dev/null
+++ b/kwg-flow/src/filter/admit_filter.rs
@@ -0,0 +1,41 @@
+use std::time::Duration;
+
+use kwg_model::{CallSubmission, PoolName, ServiceTier};
+use snafu::OptionExt;
+
+use super::FlowContext;
+use crate::CallRejection;
+use crate::request::UnknownRouteSnafu;
+
+/// Decides whether a submission is accepted, and on which terms.
+#[derive(Debug)]
+pub(crate) struct AdmitFilter;
+
+/// The terms on which a submission is accepted.
+#[derive(Debug)]
+pub(crate) struct AdmitTerms {
+    pub(crate) pool: PoolName,
+    pub(crate) tier: ServiceTier,
+    pub(crate) wait: Duration,
+}
+
+impl AdmitFilter {
+    /// Finds the route, tier and deadline of a submission before anything is kept of it.
+    pub(crate) fn apply(
+        context: &FlowContext<'_>,
+        submission: &CallSubmission,
+    ) -> Result<AdmitTerms, CallRejection> {
+        let tables = &context.fleet.tables;
+        let name = &submission.route;
+        let route = tables.routes.get(name).context(UnknownRouteSnafu { route: name.clone() })?;
+        let (cost, limit) = (submission.cost_tokens(), context.options.queue.max_tokens);
+        if cost > limit {
+            return Err(CallRejection::TooLarge { cost, limit });
+        }
+        // A caller may ask for a lower tier than its route gives, never for a higher one.
+        let tier = submission.tier.map_or(route.tier, |tier| tier.max(route.tier));
+        let longest = route.deadline();
+        let wait = submission.deadline.map_or(longest, |wait| wait.min(longest));
+        Ok(AdmitTerms { pool: route.pool.clone(), tier, wait })
+    }
+}
--- /dev/null
+++ b/kwg-flow/src/filter/flow_context.rs
@@ -0,0 +1,37 @@
+use kwg_model::{FleetSnapshot, HomeAddress, MonoTime};
+
+use crate::{TrafficIdentity, TrafficOptions};
+
+/// What every filter may look at during one step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FlowContext<'a> {
+    pub(crate) now: MonoTime,
+    pub(crate) fleet: &'a FleetSnapshot,
+    pub(crate) identity: &'a TrafficIdentity,
+    pub(crate) options: &'a TrafficOptions,
+}
+
+impl FlowContext<'_> {
+    /// How many traffic cores share the limit of each target.
+    pub(crate) fn sharing_cores(&self) -> u64 {
+        self.fleet.router_count() * u64::from(self.identity.shards)
+    }
+
+    /// Whether the address's run of its instance is this one or was heard from lately.
+    pub(crate) fn is_alive(&self, address: &HomeAddress) -> bool {
+        let own = &self.identity.address;
+        if address.instance == own.instance {
+            return address.incarnation == own.incarnation;
+        }
+        self.fleet.is_alive(address)
+    }
+
+    /// Whether the address's run of its instance is known to have ended.
+    pub(crate) fn is_replaced(&self, address: &HomeAddress) -> bool {
+        let own = &self.identity.address;
+        if address.instance == own.instance {
+            return address.incarnation != own.incarnation;
+        }
+        self.fleet.is_replaced(address)
+    }
+}
--- /dev/null
+++ b/kwg-flow/src/filter/recover_filter.rs
@@ -0,0 +1,253 @@
+use std::collections::VecDeque;
+
+use kwg_model::{
+    CallOutcome, HomeAddress, PoolKind, ResumeToken, TargetName, TicketKey, UnknownReason,
+};
+
+use super::{FlowContext, FlowPipe, RelayStep};
+use crate::answer::{AnswerRecord, AnswerShelf, AnswerStage};
+use crate::desk::{SearchDesk, SearchStep, TargetSearch, TimerKey};
+use crate::{Dispatched, EventKind, RequestFlow, ResumeOrder, TrafficMessage, TrafficOutput};
+
+/// Finds answers again whose way has broken off: at the core that runs the request while that
+/// lives, at the target after. It never dispatches anything.
+#[derive(Debug, Default)]
+pub(crate) struct RecoverFilter {
+    searches: SearchDesk,
+}
+
+impl RecoverFilter {
+    /// Starts to resume a request of this core at its own target, after a break.
+    pub(crate) fn begin(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        flow: RequestFlow<Dispatched>,
+    ) {
+        let key = flow.key().clone();
+        let choice = flow.choice();
+        let search = TargetSearch {
+            pool: choice.pool.clone(),
+            current: choice.target.clone(),
+            others: VecDeque::new(),
+            tries_left: context.options.resume_tries,
+            reason: UnknownReason::TargetFailed,
+            flow: Some(flow),
+        };
+        if let Some(record) = shelf.get_mut(&key) {
+            record.stage = AnswerStage::Resuming;
+        }
+        self.searches.insert(key, search);
+    }
+
+    /// Ends a search; gives the request if this core dispatched it.
+    pub(crate) fn end(&mut self, key: &TicketKey) -> Option<RequestFlow<Dispatched>> {
+        self.searches.take(key).and_then(|search| search.flow)
+    }
+
+    /// Notes that a resumed stream makes progress.
+    pub(crate) fn note_byte(
+        &mut self,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        record: &mut AnswerRecord,
+    ) {
+        let Some(search) = self.searches.get_mut(key) else {
+            return;
+        };
+        search.tries_left = context.options.resume_tries;
+        if let Some(flow) = &mut search.flow {
+            flow.note_byte(context.now);
+        }
+        record.token.get_or_insert_with(|| ResumeToken {
+            key: key.clone(),
+            account: record.account.clone(),
+            pool: search.pool.clone(),
+            target: search.current.clone(),
+        });
+    }
+
+    /// Reads the answer from the core that runs the request.
+    pub(crate) fn join(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        holder: HomeAddress,
+        pipe: &mut FlowPipe<'_>,
+    ) {
+        let Some(record) = shelf.get_mut(key) else {
+            return;
+        };
+        pipe.event(key, EventKind::Joined { holder: holder.clone() });
+        record.stage = AnswerStage::Joined(holder.clone());
+        pipe.outputs.push(attach_output(key, record, holder));
+        let at = context.now + context.options.attach_timeout;
+        pipe.timers.set(at, TimerKey::Join(key.clone()));
+    }
+
+    /// Looks after a joined answer: asks again while its holder lives, and its target after.
+    pub(crate) fn on_join_timer(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let Some(record) = shelf.get_mut(key) else {
+            return RelayStep::Continue;
+        };
+        let AnswerStage::Joined(holder) = record.stage.clone() else {
+            return RelayStep::Continue;
+        };
+        if !context.is_alive(&holder) {
+            return self.search(shelf, context, key, pipe);
+        }
+        let length = record.buffer.len();
+        if std::mem::replace(&mut record.checked_length, length) == length {
+            pipe.outputs.push(attach_output(key, record, holder));
+        }
+        let at = context.now + context.options.attach_timeout;
+        pipe.timers.set(at, TimerKey::Join(key.clone()));
+        RelayStep::Continue
+    }
+
+    /// The holder of a joined answer does not have it.
+    pub(crate) fn on_missing(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        from: &HomeAddress,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let stage = shelf.get_mut(key).map(|record| record.stage.clone());
+        if stage != Some(AnswerStage::Joined(from.clone())) {
+            return RelayStep::Continue;
+        }
+        self.search(shelf, context, key, pipe)
+    }
+
+    /// The current target does not hold the stream.
+    pub(crate) fn on_turned_away(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let step = self.searches.turned_away(key, context.options.resume_tries);
+        self.go_on(shelf, context, key, step, pipe)
+    }
+
+    /// The current target broke off, or could not be reached.
+    pub(crate) fn on_broke_off(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let step = self.searches.broke_off(key, context.options.resume_tries);
+        self.go_on(shelf, context, key, step, pipe)
+    }
+
+    fn go_on(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        step: SearchStep,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        match step {
+            SearchStep::None => RelayStep::Continue,
+            SearchStep::Again(tries) => {
+                let pause = context.options.resume_pause * 2_u32.saturating_pow(tries - 1);
+                pipe.timers.set(context.now + pause, TimerKey::Resume(key.clone()));
+                RelayStep::Continue
+            }
+            SearchStep::Next => self.ask_target(shelf, context, key, pipe),
+            SearchStep::Exhausted(reason) => {
+                RelayStep::Failed(key.clone(), CallOutcome::Unknown(reason))
+            }
+        }
+    }
+
+    /// Asks the current target of a search for the stream.
+    pub(crate) fn ask_target(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let Some(search) = self.searches.get_mut(key) else {
+            return RelayStep::Continue;
+        };
+        let (pool, target) = (search.pool.clone(), search.current.clone());
+        let row = context.fleet.tables.pools.get(&pool);
+        let row = row.and_then(|row| row.targets.iter().find(|row| row.name == target));
+        let Some(row) = row else {
+            let step = self.searches.turned_away(key, context.options.resume_tries);
+            return self.go_on(shelf, context, key, step, pipe);
+        };
+        let offset = shelf.get_mut(key).map_or(0, |record| record.buffer.len());
+        let address = row.address;
+        pipe.event(key, EventKind::Resumed { target: target.clone() });
+        let order = ResumeOrder { key: key.clone(), pool, target, address, offset };
+        pipe.outputs.push(TrafficOutput::Resume(order));
+        RelayStep::Continue
+    }
+
+    /// Looks for the stream of a request that this core did not dispatch: at the target that
+    /// the token names, then at a bounded number of others of the pool.
+    pub(crate) fn search(
+        &mut self,
+        shelf: &mut AnswerShelf,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        pipe: &mut FlowPipe<'_>,
+    ) -> RelayStep {
+        let reason = UnknownReason::HomeGone;
+        let unknown = RelayStep::Failed(key.clone(), CallOutcome::Unknown(reason));
+        let Some(record) = shelf.get_mut(key) else {
+            return RelayStep::Continue;
+        };
+        let known = record.token.as_ref();
+        let pool = known.map_or(&record.pool, |token| &token.pool);
+        let row = context.fleet.tables.pools.get(pool);
+        let Some(row) = row.filter(|row| row.kind == PoolKind::Engine) else {
+            return unknown;
+        };
+        let known = known.map(|token| &token.target);
+        let others = row.targets.iter().map(|target| &target.name);
+        let others = others.filter(|target| Some(*target) != known);
+        let candidates = known.into_iter().chain(others).take(context.options.ask_limit);
+        let mut candidates: VecDeque<TargetName> = candidates.cloned().collect();
+        let Some(current) = candidates.pop_front() else {
+            return unknown;
+        };
+        record.stage = AnswerStage::Resuming;
+        let tries_left = context.options.resume_tries;
+        let pool = row.name.clone();
+        let search =
+            TargetSearch { pool, current, others: candidates, tries_left, reason, flow: None };
+        self.searches.insert(key.clone(), search);
+        self.ask_target(shelf, context, key, pipe)
+    }
+}
+
+/// Asks the holder of an answer for what is missing here.
+pub(super) fn attach_output(
+    key: &TicketKey,
+    record: &AnswerRecord,
+    holder: HomeAddress,
+) -> TrafficOutput {
+    let message = TrafficMessage::Attach {
+        key: key.clone(),
+        account: record.account.clone(),
+        offset: record.buffer.len(),
+    };
+    TrafficOutput::Send { to: holder, message }
+}
--- /dev/null
+++ b/kwg-flow/src/traffic/traffic_core.rs
@@ -0,0 +1,364 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use kwg_model::{
+    AccountName, CallSubmission, DispatchTicket, FleetSnapshot, HomeAddress, MonoTime,
+    NotRunReason, ResumeToken, TicketKey,
+};
+
+use super::traffic_pipeline::TrafficPipeline;
+use super::{
+    CallerKey, CallerReply, TargetEvent, TrafficIdentity, TrafficInput, TrafficMessage,
+    TrafficOptions, TrafficOutput,
+};
+use crate::answer::{AnswerRecord, ReaderAddress};
+use crate::desk::{DrainDesk, DrainStep, MintDesk, TimerKey, TimerQueue};
+use crate::filter::{AdmitFilter, FlowContext, FlowPipe};
+use crate::{CallRejection, RequestFlow};
+
+/// One traffic core: the filters, joined, behind one [`step`](Self::step).
+///
+/// It is deterministic: the same seed and inputs give the same outputs.
+///
+/// ```
+/// use kwg_flow::{TrafficCore, TrafficIdentity, TrafficInput, TrafficOptions};
+/// use kwg_model::*;
+///
+/// let address = HomeAddress { instance: InstanceName::new("r1")?, incarnation: 1, shard: 0 };
+/// let identity = TrafficIdentity {
+///     address,
+///     domain: DomainName::new("ost-graz")?,
+///     region: RegionName::new("ost")?,
+///     shards: 1,
+/// };
+/// let mut core = TrafficCore::new(identity, TrafficOptions::default(), 7);
+/// assert!(core.step(MonoTime::ZERO, TrafficInput::Tick).is_empty());
+/// # Ok::<(), NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct TrafficCore {
+    identity: TrafficIdentity,
+    options: TrafficOptions,
+    fleet: Arc<FleetSnapshot>,
+    pipeline: TrafficPipeline,
+    mints: MintDesk,
+    drain: DrainDesk,
+    callers: HashMap<CallerKey, TicketKey>,
+    timers: TimerQueue,
+    outputs: Vec<TrafficOutput>,
+}
+
+/// Lends the parts of a core that its filters need, each on its own.
+macro_rules! lend {
+    ($core:ident, $now:expr => $context:ident, $pipe:ident) => {
+        let $context = FlowContext {
+            now: $now,
+            fleet: &$core.fleet,
+            identity: &$core.identity,
+            options: &$core.options,
+        };
+        let mut $pipe = FlowPipe { timers: &mut $core.timers, outputs: &mut $core.outputs };
+    };
+}
+
+impl TrafficCore {
+    /// A core that has just started and knows no fleet yet.
+    #[must_use]
+    pub fn new(identity: TrafficIdentity, options: TrafficOptions, seed: u64) -> Self {
+        Self {
+            pipeline: TrafficPipeline::new(&identity, &options, seed),
+            mints: MintDesk::default(),
+            drain: DrainDesk::default(),
+            callers: HashMap::new(),
+            timers: TimerQueue::default(),
+            outputs: Vec::new(),
+            fleet: Arc::default(),
+            identity,
+            options,
+        }
+    }
+
+    /// Takes one input and gives what is to be done.
+    pub fn step(&mut self, now: MonoTime, input: TrafficInput) -> Vec<TrafficOutput> {
+        match input {
+            TrafficInput::Submit { caller, submission } => self.on_submit(now, caller, *submission),
+            TrafficInput::Mint { caller, account, count, elsewhere } => {
+                self.on_mint(now, caller, account, count, elsewhere);
+            }
+            TrafficInput::CallerGone { caller } => self.on_caller_gone(now, caller),
+            TrafficInput::Peer { from, message } => self.on_peer(now, from, message),
+            TrafficInput::Target { key, event } => self.on_target(now, &key, event),
+            TrafficInput::Fleet(fleet) => self.on_fleet(now, fleet),
+            TrafficInput::Drain => self.drain.begin(),
+            TrafficInput::Tick => {}
+        }
+        self.run_timers(now);
+        lend!(self, now => context, pipe);
+        self.pipeline.expire(&context, &mut pipe);
+        self.pipeline.pump(&context, &mut pipe);
+        self.finish_drain(now);
+        self.forget_callers();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When the core wants its next [`TrafficInput::Tick`], if at all.
+    #[must_use]
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        self.timers.next().into_iter().chain(self.pipeline.next_wake(now)).min()
+    }
+
+    /// How many requests wait for room.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.pipeline.queued()
+    }
+
+    /// How many answers have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.pipeline.relay.running()
+    }
+
+    /// How many records of tickets and answers the core holds.
+    #[must_use]
+    pub fn record_count(&self) -> usize {
+        self.pipeline.record_count()
+    }
+
+    fn on_submit(&mut self, now: MonoTime, caller: CallerKey, mut submission: CallSubmission) {
+        let ticket = match self.ticket_for(now, &mut submission) {
+            Ok(ticket) => ticket,
+            Err(rejection) => return self.reply(caller, CallerReply::Rejected(rejection)),
+        };
+        let key = ticket.key.clone();
+        lend!(self, now => context, pipe);
+        let terms = match AdmitFilter::apply(&context, &submission) {
+            Ok(terms) => terms,
+            Err(rejection) => return self.reply(caller, CallerReply::Rejected(rejection)),
+        };
+        let ticketed = CallerReply::Ticketed(ticket.clone());
+        pipe.outputs.push(TrafficOutput::Reply { caller, reply: ticketed });
+        self.callers.insert(caller, key.clone());
+        let reader = ReaderAddress::Caller(caller);
+        if self.pipeline.relay.attach(&key, reader.clone(), submission.offset, &mut pipe) {
+            return;
+        }
+        let (account, non_idempotent) = (submission.account.clone(), submission.non_idempotent);
+        let mut record = AnswerRecord::new(account, terms.pool.clone(), non_idempotent);
+        record.attach(reader, submission.offset);
+        record.token = submission.resume.take();
+        let resumes = record.token.is_some();
+        self.pipeline.relay.open(&key, record);
+        if resumes {
+            return self.pipeline.search(&context, &key, &mut pipe);
+        }
+        if let Some(holder) = self.pipeline.claim.holder(&key).cloned() {
+            return self.pipeline.join(&context, &key, holder, &mut pipe);
+        }
+        if submission.join_only {
+            self.pipeline.relay.shelf().remove(&key);
+            return self.reply(caller, CallerReply::Rejected(CallRejection::NotHere));
+        }
+        let flow = RequestFlow::receive(now, ticket, submission);
+        let flow = flow.admit(terms.pool, terms.tier, terms.wait);
+        if self.drain.is_draining() {
+            return self.pipeline.refuse(&context, flow, None, NotRunReason::Draining, &mut pipe);
+        }
+        self.pipeline.enqueue(&context, flow, &mut pipe);
+    }
+
+    /// The caller's ticket, or one minted for it.
+    fn ticket_for(
+        &mut self,
+        now: MonoTime,
+        submission: &mut CallSubmission,
+    ) -> Result<DispatchTicket, CallRejection> {
+        if let Some(ticket) = submission.ticket.take() {
+            let matches = |token: &ResumeToken| {
+                token.key == ticket.key && token.account == submission.account
+            };
+            let mismatch = submission.resume.as_ref().is_some_and(|token| !matches(token));
+            return if mismatch { Err(CallRejection::TokenMismatch) } else { Ok(ticket) };
+        }
+        if submission.non_idempotent || submission.join_only || submission.resume.is_some() {
+            return Err(CallRejection::TicketRequired);
+        }
+        if self.drain.is_draining() {
+            return Err(CallRejection::ShuttingDown);
+        }
+        let minted = self.pipeline.claim.mint(now, &submission.account, 1);
+        let minted = minted.ok_or(CallRejection::ShuttingDown)?;
+        let tickets = minted.map_err(|error| CallRejection::ticket_limit(&error))?;
+        tickets.into_iter().next().ok_or(CallRejection::ShuttingDown)
+    }
+
+    fn on_mint(
+        &mut self,
+        now: MonoTime,
+        caller: CallerKey,
+        account: AccountName,
+        count: u16,
+        elsewhere: bool,
+    ) {
+        if elsewhere {
+            lend!(self, now => context, pipe);
+            if !self.mints.ask(&context, caller, account, count, &mut pipe) {
+                self.reply(caller, CallerReply::Rejected(CallRejection::NoOtherDomain));
+            }
+            return;
+        }
+        let minted = match self.drain.is_draining() {
+            true => None,
+            false => self.pipeline.claim.mint(now, &account, usize::from(count)),
+        };
+        let reply = match minted {
+            Some(Ok(tickets)) => CallerReply::Tickets(tickets),
+            Some(Err(error)) => CallerReply::Rejected(CallRejection::ticket_limit(&error)),
+            None => CallerReply::Rejected(CallRejection::ShuttingDown),
+        };
+        self.reply(caller, reply);
+    }
+
+    fn on_caller_gone(&mut self, now: MonoTime, caller: CallerKey) {
+        let Some(key) = self.callers.remove(&caller) else {
+            return;
+        };
+        lend!(self, now => context, pipe);
+        self.pipeline.relay.detach(&context, &key, &ReaderAddress::Caller(caller), &mut pipe);
+    }
+
+    fn on_peer(&mut self, now: MonoTime, from: HomeAddress, message: TrafficMessage) {
+        lend!(self, now => context, pipe);
+        match message {
+            TrafficMessage::Claim { ticket, stub } => {
+                self.pipeline.claim.serve_claim(&context, &from, &ticket, &stub, &mut pipe);
+            }
+            TrafficMessage::ClaimReply { attempt, verdict } => {
+                let step = self.pipeline.claim.on_claim_reply(attempt, verdict, &mut pipe);
+                self.pipeline.on_claim_step(&context, step, &mut pipe);
+            }
+            TrafficMessage::Burn { ticket, stub } => {
+                self.pipeline.claim.serve_burn(&context, &from, &ticket, &stub, &mut pipe);
+            }
+            TrafficMessage::BurnReply { attempt, verdict } => {
+                let step = self.pipeline.claim.on_burn_reply(attempt, verdict, &mut pipe);
+                self.pipeline.on_burn_step(&context, step, &mut pipe);
+            }
+            TrafficMessage::Mint { request, account, count } => {
+                let draining = self.drain.is_draining();
+                let minted = self.pipeline.claim.mint(now, &account, usize::from(count));
+                let tickets = minted.filter(|_| !draining).and_then(Result::ok).unwrap_or_default();
+                pipe.send(&from, TrafficMessage::MintReply { request, tickets });
+            }
+            TrafficMessage::MintReply { request, tickets } => {
+                if let Some(caller) = self.mints.take(request) {
+                    self.reply(caller, tickets_reply(tickets));
+                }
+            }
+            TrafficMessage::Attach { key, account, offset } => {
+                self.pipeline.relay.serve_attach(&from, &key, &account, offset, &mut pipe);
+            }
+            TrafficMessage::Answer { key, note } => {
+                let step = self.pipeline.relay.on_answer(&context, &from, &key, note, &mut pipe);
+                self.pipeline.on_relay_step(&context, step, &mut pipe);
+            }
+            TrafficMessage::AnswerMissing { key } => {
+                let (recovery, shelf) = self.pipeline.relay.recovery();
+                let step = recovery.on_missing(shelf, &context, &from, &key, &mut pipe);
+                self.pipeline.on_relay_step(&context, step, &mut pipe);
+            }
+            TrafficMessage::Detach { key } => {
+                self.pipeline.relay.detach(&context, &key, &ReaderAddress::Peer(from), &mut pipe);
+            }
+            TrafficMessage::Inherit { export } => {
+                let home = export.home.clone();
+                if !self.drain.is_draining() && self.pipeline.claim.inherit(now, export) {
+                    pipe.outputs.push(TrafficOutput::Inherited { home: home.clone() });
+                    pipe.send(&from, TrafficMessage::InheritReply { home });
+                }
+            }
+            TrafficMessage::InheritReply { home } => self.drain.on_inherited(&home),
+        }
+    }
+
+    fn on_target(&mut self, now: MonoTime, key: &TicketKey, event: TargetEvent) {
+        lend!(self, now => context, pipe);
+        let step = self.pipeline.relay.on_target(&context, key, event, &mut pipe);
+        self.pipeline.on_relay_step(&context, step, &mut pipe);
+    }
+
+    fn on_fleet(&mut self, now: MonoTime, fleet: Arc<FleetSnapshot>) {
+        self.fleet = fleet;
+        lend!(self, now => context, pipe);
+        self.pipeline.on_fleet(&context, &mut pipe);
+    }
+
+    fn run_timers(&mut self, now: MonoTime) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            lend!(self, now => context, pipe);
+            match timer {
+                TimerKey::Claim(attempt) => {
+                    let step = self.pipeline.claim.on_claim_timer(&context, attempt, &mut pipe);
+                    self.pipeline.on_claim_step(&context, step, &mut pipe);
+                }
+                TimerKey::Burn(attempt) => {
+                    let step = self.pipeline.claim.on_burn_timer(&context, attempt, &mut pipe);
+                    self.pipeline.on_burn_step(&context, step, &mut pipe);
+                }
+                TimerKey::Mint(request) => {
+                    if let Some(caller) = self.mints.take(request) {
+                        self.reply(caller, CallerReply::Rejected(CallRejection::NoOtherDomain));
+                    }
+                }
+                TimerKey::Join(key) => {
+                    let (recovery, shelf) = self.pipeline.relay.recovery();
+                    let step = recovery.on_join_timer(shelf, &context, &key, &mut pipe);
+                    self.pipeline.on_relay_step(&context, step, &mut pipe);
+                }
+                TimerKey::Resume(key) => {
+                    let (recovery, shelf) = self.pipeline.relay.recovery();
+                    let step = recovery.ask_target(shelf, &context, &key, &mut pipe);
+                    self.pipeline.on_relay_step(&context, step, &mut pipe);
+                }
+                TimerKey::Orphan(key) => self.pipeline.relay.on_orphan_timer(&key, &mut pipe),
+                TimerKey::HandOver => self.drain.send_again(&context, &mut pipe),
+            }
+        }
+    }
+
+    fn finish_drain(&mut self, now: MonoTime) {
+        let idle = self.pipeline.is_idle() && self.mints.is_empty();
+        if !self.drain.is_draining() || !idle {
+            return;
+        }
+        lend!(self, now => context, pipe);
+        match self.drain.finish(&context, &mut self.pipeline.claim, &mut pipe) {
+            DrainStep::Waiting => {}
+            DrainStep::Ended { handed_over } => {
+                self.outputs.push(TrafficOutput::Drained { handed_over });
+            }
+        }
+    }
+
+    /// Forgets callers that have had their last reply.
+    fn forget_callers(&mut self) {
+        for output in &self.outputs {
+            if let TrafficOutput::Reply { caller, reply } = output
+                && reply.is_last()
+            {
+                self.callers.remove(caller);
+            }
+        }
+    }
+
+    fn reply(&mut self, caller: CallerKey, reply: CallerReply) {
+        self.outputs.push(TrafficOutput::Reply { caller, reply });
+    }
+}
+
+fn tickets_reply(tickets: Vec<DispatchTicket>) -> CallerReply {
+    match tickets.is_empty() {
+        true => CallerReply::Rejected(CallRejection::NoOtherDomain),
+        false => CallerReply::Tickets(tickets),
+    }
+}
--- /dev/null
+++ b/kwg-front/src/account_meter.rs
@@ -0,0 +1,66 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use kwg_model::AccountName;
+
+/// Counts the requests of each client account that are under way in one traffic thread.
+#[derive(Debug, Clone)]
+pub struct AccountMeter {
+    limit: usize,
+    counts: Arc<Mutex<HashMap<AccountName, usize>>>,
+}
+
+/// A request that counts as under way until the permit is dropped.
+#[derive(Debug)]
+pub struct RequestPermit {
+    meter: AccountMeter,
+    account: AccountName,
+}
+
+impl AccountMeter {
+    /// A meter that lets each account have so many requests.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self { limit, counts: Arc::default() }
+    }
+
+    /// Counts a request, `None` if the account has its most.
+    ///
+    /// ```
+    /// use kwg_front::AccountMeter;
+    /// use kwg_model::AccountName;
+    ///
+    /// let meter = AccountMeter::new(1);
+    /// let bank = AccountName::new("bank").expect("valid");
+    /// let permit = meter.acquire(&bank);
+    /// assert!(permit.is_some() && meter.acquire(&bank).is_none());
+    /// drop(permit);
+    /// assert!(meter.acquire(&bank).is_some());
+    /// ```
+    #[must_use]
+    pub fn acquire(&self, account: &AccountName) -> Option<RequestPermit> {
+        let mut counts = self.counts();
+        let count = counts.entry(account.clone()).or_default();
+        if *count >= self.limit {
+            return None;
+        }
+        *count += 1;
+        Some(RequestPermit { meter: self.clone(), account: account.clone() })
+    }
+
+    fn counts(&self) -> MutexGuard<'_, HashMap<AccountName, usize>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for RequestPermit {
+    fn drop(&mut self) {
+        let mut counts = self.meter.counts();
+        if let Some(count) = counts.get_mut(&self.account) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.account);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kwg-http/src/call_client.rs
@@ -0,0 +1,143 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http_types::{Method, Request, Response, StatusCode, Url};
+use kwg_clock::ClockHandle;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::{BodyError, SocketStream, WholeBody};
+
+/// Longest reply that a call reads, in bytes.
+const REPLY_MAX_BYTES: usize = 64 << 20;
+
+/// Makes HTTP calls to one address, each on its own connection and with a timeout.
+#[derive(Debug, Clone)]
+pub struct CallClient {
+    address: SocketAddr,
+    timeout: Duration,
+    clock: ClockHandle,
+}
+
+/// A whole reply.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The error for a call without a whole reply.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The path does not make a URL.
+    #[snafu(display("'{path}' is no path"))]
+    BadPath {
+        /// The path.
+        path: String,
+    },
+    /// No connection: nothing was sent.
+    #[snafu(display("{address} cannot be reached: {source}"))]
+    Connect {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The call failed after it was sent; it may have taken effect.
+    #[snafu(display("the call to {address} failed: {reason}"))]
+    Exchange {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        reason: String,
+    },
+    /// The reply is not whole; the call may have taken effect.
+    #[snafu(display("the reply of {address} is not whole: {source}"))]
+    Reply {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: BodyError,
+    },
+    /// No reply in time; the call may have taken effect.
+    #[snafu(display("{address} did not reply within {} ms", timeout.as_millis()))]
+    Timeout {
+        /// The address.
+        address: SocketAddr,
+        /// How long was waited.
+        timeout: Duration,
+    },
+}
+
+impl CallClient {
+    /// A client for one address.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration, clock: ClockHandle) -> Self {
+        Self { address, timeout, clock }
+    }
+
+    /// The address that is called.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A request for a path of this address.
+    ///
+    /// # Errors
+    /// [`CallError::BadPath`] if the path makes no URL.
+    pub fn request(&self, method: Method, path: impl AsRef<str>) -> Result<Request, CallError> {
+        let path = path.as_ref();
+        let url = Url::parse(&format!("http://{}{path}", self.address)).ok();
+        Ok(Request::new(method, url.context(BadPathSnafu { path })?))
+    }
+
+    /// Connects within the timeout.
+    ///
+    /// # Errors
+    /// [`CallError::Connect`]; nothing has been sent then.
+    pub async fn connect(&self) -> Result<SocketStream, CallError> {
+        let address = self.address;
+        let timeout = async {
+            self.clock.sleep(self.timeout).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        SocketStream::connect(address).or(timeout).await.context(ConnectSnafu { address })
+    }
+
+    /// Sends a request on a fresh connection and waits for the head of its response.
+    ///
+    /// # Errors
+    /// [`CallError`]; all but [`CallError::Connect`] leave open whether the call took effect.
+    pub async fn open(
+        &self,
+        stream: SocketStream,
+        request: Request,
+    ) -> Result<Response, CallError> {
+        let address = self.address;
+        let response = async_h1::connect(stream, request).await;
+        response.map_err(|error| CallError::Exchange { address, reason: error.to_string() })
+    }
+
+    /// Makes a call and reads its whole reply, within the timeout.
+    ///
+    /// # Errors
+    /// [`CallError`]; all but [`CallError::Connect`] leave open whether the call took effect.
+    pub async fn call(&self, request: Request) -> Result<HttpReply, CallError> {
+        let (address, timeout) = (self.address, self.timeout);
+        let stream = self.connect().await?;
+        let exchange = async {
+            let mut response = self.open(stream, request).await?;
+            let body = WholeBody::read(response.take_body(), REPLY_MAX_BYTES).await;
+            let body = body.context(ReplySnafu { address })?;
+            Ok(HttpReply { status: response.status(), body })
+        };
+        let expired = async {
+            self.clock.sleep(timeout).await;
+            TimeoutSnafu { address, timeout }.fail()
+        };
+        exchange.or(expired).await
+    }
+}
--- a/kwg-model/src/account_grant.rs
+++ b/kwg-model/src/account_grant.rs
@@ -10,23 +10,14 @@
 }
 
 impl AccountGrant {
-    /// Whether `key` is the account's key.
+    /// The hash under which a key is stored and looked up.
     ///
     /// ```
-    /// use kwg_model::{AccountGrant, AccountName};
+    /// use kwg_model::AccountGrant;
     ///
-    /// let name = AccountName::new("bank").expect("valid");
-    /// let grant = AccountGrant { name, key_hash: AccountGrant::hash_key("k") };
-    /// assert!(grant.accepts("k"));
-    /// assert!(!grant.accepts("K"));
+    /// assert_ne!(AccountGrant::hash_key("k"), AccountGrant::hash_key("K"));
     /// ```
     #[must_use]
-    pub fn accepts(&self, key: &str) -> bool {
-        blake3::Hash::from_bytes(Self::hash_key(key)) == blake3::Hash::from_bytes(self.key_hash)
-    }
-
-    /// The hash under which a key is stored.
-    #[must_use]
     pub fn hash_key(key: &str) -> [u8; 32] {
         *blake3::hash(key.as_bytes()).as_bytes()
     }
--- a/kwg-model/src/call_submission.rs
+++ b/kwg-model/src/call_submission.rs
@@ -21,6 +21,8 @@
     pub deadline: Option<Duration>,
     /// Whether a second run would do harm.
     pub non_idempotent: bool,
+    /// Whether the caller only reads an answer that is under way, and wants nothing run.
+    pub join_only: bool,
     /// Most tokens that the answer may have.
     pub max_tokens: u32,
     /// The request body.
--- a/kwg-model/src/fleet_snapshot.rs
+++ b/kwg-model/src/fleet_snapshot.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{InstanceName, PeerView, TableSet, TargetName, VersionName};
+use crate::{HomeAddress, InstanceName, PeerView, TableSet, TargetName, VersionName};
 
 /// The immutable view that the control core publishes and the traffic cores read.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -11,6 +11,8 @@
     pub peers: BTreeMap<InstanceName, PeerView>,
     /// Targets that are leaving and get no new work.
     pub leaving: BTreeSet<TargetName>,
+    /// Ledgers that were handed over, and where they are now.
+    pub moved: BTreeMap<HomeAddress, HomeAddress>,
     /// Versions that get no traffic because a brake is on.
     pub braked: BTreeSet<VersionName>,
 }
@@ -22,9 +24,18 @@
         1 + self.peers.values().filter(|peer| peer.serving).count() as u64
     }
 
-    /// The run of `instance` that was last heard from.
+    /// Whether this run of the address's instance was heard from lately.
     #[must_use]
-    pub fn peer(&self, instance: &InstanceName) -> Option<&PeerView> {
-        self.peers.get(instance)
+    pub fn is_alive(&self, address: &HomeAddress) -> bool {
+        let peer = self.peers.get(&address.instance);
+        peer.is_some_and(|peer| peer.incarnation == address.incarnation)
+    }
+
+    /// Whether another run of the address's instance was heard from lately, so that this one
+    /// has ended.
+    #[must_use]
+    pub fn is_replaced(&self, address: &HomeAddress) -> bool {
+        let peer = self.peers.get(&address.instance);
+        peer.is_some_and(|peer| peer.incarnation != address.incarnation)
     }
 }
--- a/kwg-model/src/home_address.rs
+++ b/kwg-model/src/home_address.rs
@@ -20,11 +20,7 @@
 
 impl fmt::Display for HomeAddress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}/{:016x}/{}",
-            self.instance, self.incarnation, self.shard
-        )
+        write!(f, "{}/{:016x}/{}", self.instance, self.incarnation, self.shard)
     }
 }
 
--- a/kwg-model/src/names.rs
+++ b/kwg-model/src/names.rs
@@ -1,6 +1,7 @@
 //! Validated names. One macro writes the types, since they differ in what they name only.
 
 use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -23,9 +24,7 @@
         byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'.' | b'_' | b'-')
     };
     if text.is_empty() || text.len() > NAME_MAX_BYTES || !text.bytes().all(allowed) {
-        return Err(NameError {
-            text: text.chars().take(NAME_MAX_BYTES).collect(),
-        });
+        return Err(NameError { text: text.chars().take(NAME_MAX_BYTES).collect() });
     }
     Ok(())
 }
@@ -71,6 +70,14 @@
             }
         }
 
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                Self::new(text)
+            }
+        }
+
         impl From<$name> for String {
             fn from(name: $name) -> Self {
                 name.0.as_ref().to_owned()
--- a/kwg-model/src/seal_key.rs
+++ b/kwg-model/src/seal_key.rs
@@ -18,10 +18,7 @@
     /// Derives the key from the secret of the settings.
     #[must_use]
     pub fn derive(secret: impl AsRef<str>) -> Self {
-        Self(blake3::derive_key(
-            "knapweedglade 2026 ticket seal",
-            secret.as_ref().as_bytes(),
-        ))
+        Self(blake3::derive_key("knapweedglade 2026 ticket seal", secret.as_ref().as_bytes()))
     }
 
     /// The keyed MAC of `parts`, cut to the length of a seal. The purpose keeps the seals of
@@ -37,10 +34,8 @@
     /// Whether `seal` is the seal of the payload, compared in constant time.
     pub(crate) fn verifies(&self, purpose: u8, payload: &[u8], seal: &[u8]) -> bool {
         let expected = self.seal(purpose, payload);
-        let difference = expected
-            .iter()
-            .zip(seal)
-            .fold(0, |sum, (left, right)| sum | (left ^ right));
+        let difference =
+            expected.iter().zip(seal).fold(0, |sum, (left, right)| sum | (left ^ right));
         seal.len() == SEAL_BYTES && difference == 0
     }
 }
--- a/kwg-model/src/table_set.rs
+++ b/kwg-model/src/table_set.rs
@@ -16,6 +16,9 @@
     /// Who made the change.
     #[serde(default)]
     pub editor: String,
+    /// When it was made, in milliseconds since the Unix epoch by the editor's clock.
+    #[serde(default)]
+    pub edited_at_ms: u64,
     /// The route table.
     pub routes: BTreeMap<RouteName, RouteRow>,
     /// The pool table.
@@ -82,10 +85,7 @@
             let known = self.pools.contains_key(&route.pool);
             ensure!(
                 known,
-                UnknownPoolSnafu {
-                    route: route.name.clone(),
-                    pool: route.pool.clone()
-                }
+                UnknownPoolSnafu { route: route.name.clone(), pool: route.pool.clone() }
             );
         }
         Ok(())
@@ -99,12 +99,7 @@
 }
 
 fn check_pool(pool: &PoolRow) -> Result<(), TableError> {
-    ensure!(
-        !pool.targets.is_empty(),
-        NoTargetSnafu {
-            pool: pool.name.clone()
-        }
-    );
+    ensure!(!pool.targets.is_empty(), NoTargetSnafu { pool: pool.name.clone() });
     let mut names = BTreeSet::new();
     for target in &pool.targets {
         let names_of = || (pool.name.clone(), target.name.clone());
@@ -117,16 +112,7 @@
             return ZeroLimitSnafu { pool, target }.fail();
         }
     }
-    let served = pool
-        .targets
-        .iter()
-        .any(|target| target.version == pool.version);
-    ensure!(
-        served,
-        NoEngineSnafu {
-            pool: pool.name.clone(),
-            version: pool.version.as_str()
-        }
-    );
+    let served = pool.targets.iter().any(|target| target.version == pool.version);
+    ensure!(served, NoEngineSnafu { pool: pool.name.clone(), version: pool.version.as_str() });
     Ok(())
 }
--- a/kwg-model/src/ticket_key.rs
+++ b/kwg-model/src/ticket_key.rs
@@ -15,11 +15,7 @@
 
 impl fmt::Display for TicketKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let HomeAddress {
-            instance,
-            incarnation,
-            shard,
-        } = &self.home;
+        let HomeAddress { instance, incarnation, shard } = &self.home;
         write!(f, "{instance}.{incarnation:016x}.{shard}.{}", self.sequence)
     }
 }
--- /dev/null
+++ b/kwg-peer/src/peer_lane.rs
@@ -0,0 +1,106 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use kwg_clock::ClockHandle;
+use kwg_model::InstanceName;
+use kwg_telemetry::HybridClock;
+use kwg_wire::{FrameCodec, PeerBody, PeerFrame};
+use quinn::{Connection, Endpoint, SendStream};
+
+use crate::LinkSink;
+
+/// How long a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after a failed connection none is tried.
+const CONNECT_PAUSE: Duration = Duration::from_millis(300);
+/// How long a frame may wait for the link.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The way to one router: connects when there is something to send, and again after a break.
+pub(crate) struct PeerLane<S> {
+    pub(crate) own: InstanceName,
+    pub(crate) peer: InstanceName,
+    pub(crate) address: SocketAddr,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) clock: ClockHandle,
+    pub(crate) stamps: HybridClock,
+    pub(crate) sink: std::sync::Arc<S>,
+}
+
+/// A standing link: the connection is held for as long as its stream is.
+struct OpenLink {
+    connection: Connection,
+    stream: SendStream,
+}
+
+impl<S: LinkSink> PeerLane<S> {
+    /// Sends what comes through the channel until that is closed.
+    pub(crate) async fn run(self, frames: Receiver<PeerBody>) {
+        let mut link: Option<OpenLink> = None;
+        while let Ok(body) = frames.recv().await {
+            if link.as_ref().is_some_and(|link| link.connection.close_reason().is_some()) {
+                link = None;
+            }
+            if link.is_none() {
+                link = self.connect().await;
+            }
+            let Some(open) = &mut link else {
+                self.drop_waiting(&frames);
+                self.clock.sleep(CONNECT_PAUSE).await;
+                continue;
+            };
+            if !self.write(&mut open.stream, body).await {
+                link = None;
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<OpenLink> {
+        let timeout = async {
+            self.clock.sleep(CONNECT_TIMEOUT).await;
+            None
+        };
+        let connect = async {
+            let connecting = self.endpoint.connect(self.address, self.peer.as_str()).ok()?;
+            let connection = connecting.await.ok()?;
+            let stream = connection.open_uni().await.ok()?;
+            Some(OpenLink { connection, stream })
+        };
+        let mut link = connect.or(timeout).await;
+        if let Some(open) = &mut link
+            && !self.write(&mut open.stream, PeerBody::Hello(self.own.clone())).await
+        {
+            link = None;
+        }
+        if link.is_none() {
+            self.sink.note_fault("connect");
+        }
+        link
+    }
+
+    async fn write(&self, stream: &mut SendStream, body: PeerBody) -> bool {
+        let frame = PeerFrame { stamp: self.stamps.stamp(), body };
+        let Ok(bytes) = FrameCodec::encode(&frame) else {
+            self.sink.note_fault("frame-too-long");
+            return true;
+        };
+        let timeout = async {
+            self.clock.sleep(WRITE_TIMEOUT).await;
+            false
+        };
+        let written = async { stream.write_all(&bytes).await.is_ok() }.or(timeout).await;
+        if !written {
+            self.sink.note_fault("write");
+        }
+        written
+    }
+
+    /// Drops what waits for a link that does not stand: old questions are asked again anyway.
+    fn drop_waiting(&self, frames: &Receiver<PeerBody>) {
+        while frames.try_recv().is_ok() {
+            self.sink.note_fault("no-link");
+        }
+    }
+}
--- /dev/null
+++ b/kwg-peer/src/tls_identity.rs
@@ -0,0 +1,106 @@
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, ServerConfig, TransportConfig};
+use rustls::server::WebPkiClientVerifier;
+use rustls::{RootCertStore, SupportedProtocolVersion};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+
+use crate::LinkError;
+use crate::link_error::{BadFileSnafu, TlsSnafu};
+
+/// Names the protocol, so that only routers of one kind talk to each other.
+const PROTOCOL: &[u8] = b"knapweedglade/1";
+/// How long a link may be silent before it counts as broken.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// How often an idle link is kept alive.
+const KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+/// The only version that QUIC takes.
+const VERSIONS: &[&SupportedProtocolVersion] = &[&rustls::version::TLS13];
+
+/// The files of a router's identity, all in PEM.
+#[derive(Debug, Clone, Copy)]
+pub struct IdentityFiles<'a> {
+    /// The authority's certificate.
+    pub authority: &'a Path,
+    /// The router's certificate.
+    pub certificate: &'a Path,
+    /// The router's private key.
+    pub key: &'a Path,
+}
+
+/// A router's keys, as both ends of a link use them: each proves that the authority signed it.
+#[derive(Debug, Clone)]
+pub struct TlsIdentity {
+    pub(crate) server: ServerConfig,
+    pub(crate) client: ClientConfig,
+}
+
+impl TlsIdentity {
+    /// Reads and checks the keys.
+    ///
+    /// # Errors
+    /// [`LinkError`] naming the file that is unusable.
+    pub fn load(files: IdentityFiles<'_>) -> Result<Self, LinkError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let tls = |error: &dyn std::fmt::Display| TlsSnafu { reason: error.to_string() }.build();
+        let authority = read_certificate(files.authority)?;
+        let mut roots = RootCertStore::empty();
+        roots.add(authority).map_err(|error| bad_file(files.authority, &error))?;
+        let roots = Arc::new(roots);
+        let chain = vec![read_certificate(files.certificate)?];
+        let key = PrivateKeyDer::from_pem_file(files.key);
+        let key = key.map_err(|error| bad_file(files.key, &error))?;
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
+                .build()
+                .map_err(|error| tls(&error))?;
+        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(VERSIONS)
+            .map_err(|error| tls(&error))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key.clone_key())
+            .map_err(|error| tls(&error))?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(VERSIONS)
+            .map_err(|error| tls(&error))?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key)
+            .map_err(|error| tls(&error))?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let server = QuicServerConfig::try_from(server).map_err(|error| tls(&error))?;
+        let client = QuicClientConfig::try_from(client).map_err(|error| tls(&error))?;
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        let mut client = ClientConfig::new(Arc::new(client));
+        let transport = Arc::new(transport());
+        server.transport_config(Arc::clone(&transport));
+        client.transport_config(transport);
+        Ok(Self { server, client })
+    }
+
+    /// Whether a certificate, whose signature has been checked, is that of `instance`.
+    pub(crate) fn is_certificate_of(certificate: &CertificateDer<'_>, instance: &str) -> bool {
+        let Ok(certificate) = webpki::EndEntityCert::try_from(certificate) else { return false };
+        let Ok(name) = ServerName::try_from(instance) else { return false };
+        certificate.verify_is_valid_for_subject_name(&name).is_ok()
+    }
+}
+
+fn transport() -> TransportConfig {
+    let idle = IDLE_TIMEOUT.try_into().ok();
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(idle).keep_alive_interval(Some(KEEP_ALIVE));
+    transport
+}
+
+fn read_certificate(path: &Path) -> Result<CertificateDer<'static>, LinkError> {
+    CertificateDer::from_pem_file(path).map_err(|error| bad_file(path, &error))
+}
+
+fn bad_file(path: &Path, error: &dyn std::fmt::Display) -> LinkError {
+    BadFileSnafu { path: PathBuf::from(path), reason: error.to_string() }.build()
+}
--- a/kwg-platform/src/lib.rs
+++ b/kwg-platform/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! The platform's services through three small ports: the transactional table service, the
+//! object store and the lagging instance list, each with an HTTP client.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod config_store;
+mod list_client;
+mod object_client;
+mod platform_error;
+mod table_client;
+mod table_row;
+
+pub use config_store::{ConfigStore, EditOutcome, EditRequest, TableReading};
+pub use list_client::{InstanceList, ListClient};
+pub use object_client::ObjectClient;
+pub use platform_error::PlatformError;
+pub use table_client::{TableClient, TxnOutcome};
+pub use table_row::{RowCheck, RowList, RowWrite, TableRow, TxnRequest};
--- /dev/null
+++ b/kwg-platform/src/table_client.rs
@@ -0,0 +1,55 @@
+use http_types::{Method, StatusCode};
+use kwg_http::CallClient;
+use snafu::{ResultExt, ensure};
+
+use crate::platform_error::{CallSnafu, DecodeSnafu, StatusSnafu};
+use crate::{PlatformError, RowList, TxnRequest};
+
+/// Reads rows and commits transactions.
+#[derive(Debug, Clone)]
+pub struct TableClient(CallClient);
+
+/// What became of a transaction that the service answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TxnOutcome {
+    /// All writes took effect.
+    Committed,
+    /// A condition did not hold; nothing was written.
+    Conflict,
+}
+
+impl TableClient {
+    /// A client of the service behind `client`.
+    #[must_use]
+    pub fn new(client: CallClient) -> Self {
+        Self(client)
+    }
+
+    /// Reads every row of a table at one moment.
+    ///
+    /// # Errors
+    /// [`PlatformError`] without a whole reply.
+    pub async fn rows(&self, table: &str) -> Result<RowList, PlatformError> {
+        let path = format!("/v1/rows?table={table}");
+        let request = self.0.request(Method::Get, &path).context(CallSnafu)?;
+        let reply = self.0.call(request).await.context(CallSnafu)?;
+        ensure!(reply.status == StatusCode::Ok, StatusSnafu { status: reply.status, path });
+        serde_json::from_slice(&reply.body).context(DecodeSnafu { path })
+    }
+
+    /// Commits a transaction.
+    ///
+    /// # Errors
+    /// [`PlatformError`] without an answer; the transaction may have taken effect.
+    pub async fn commit(&self, txn: &TxnRequest) -> Result<TxnOutcome, PlatformError> {
+        let path = "/v1/txn";
+        let mut request = self.0.request(Method::Post, path).context(CallSnafu)?;
+        request.set_body(serde_json::to_vec(txn).context(DecodeSnafu { path })?);
+        let status = self.0.call(request).await.context(CallSnafu)?.status;
+        match status {
+            StatusCode::Ok => Ok(TxnOutcome::Committed),
+            StatusCode::Conflict => Ok(TxnOutcome::Conflict),
+            status => StatusSnafu { status, path }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/kwg-router/src/control_thread.rs
@@ -0,0 +1,173 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use futures_lite::FutureExt;
+use kwg_clock::ClockHandle;
+use kwg_decide::{PeerRecord, PeerState};
+use kwg_flow::{ControlCore, ControlInput, ControlOutput, TrafficInput};
+use kwg_front::AdminServer;
+use kwg_http::CallClient;
+use kwg_peer::LinkCommand;
+use kwg_platform::{ConfigStore, ListClient, ObjectClient, TableClient};
+use kwg_telemetry::EventLine;
+use kwg_wire::PeerBody;
+
+use crate::event_archive::EventArchive;
+use crate::router_pipes::RouterPipes;
+use crate::status_pages::StatusPages;
+
+/// The thread of the control core: platform, membership, operators' pages.
+pub(crate) struct ControlThread {
+    pipes: RouterPipes,
+    core: Rc<RefCell<ControlCore>>,
+    executor: Rc<LocalExecutor<'static>>,
+    config: ConfigStore,
+    list: ListClient,
+}
+
+impl ControlThread {
+    pub(crate) fn new(pipes: RouterPipes) -> Self {
+        let settings = &pipes.settings;
+        let own = PeerRecord {
+            instance: settings.name.clone(),
+            incarnation: pipes.incarnation,
+            counter: 0,
+            state: PeerState::Serving,
+            shards: settings.threads,
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+        };
+        let client =
+            |address| CallClient::new(address, settings.platform.timeout, pipes.clock.clone());
+        let tables = TableClient::new(client(settings.platform.tables));
+        Self {
+            core: Rc::new(RefCell::new(ControlCore::new(own, settings.control))),
+            executor: Rc::new(LocalExecutor::new()),
+            config: ConfigStore::new(tables, pipes.clock.clone()),
+            list: ListClient::new(client(settings.platform.instances)),
+            pipes,
+        }
+    }
+
+    /// Runs until the pipe of inputs is closed, then archives the last events.
+    pub(crate) fn run(self, inputs: Receiver<ControlInput>, admin: Async<TcpListener>) {
+        let pages = StatusPages { core: Rc::clone(&self.core), pipes: self.pipes.clone() };
+        let server = AdminServer::new(pages, self.pipes.clock.clone());
+        self.executor.spawn(server.run(admin, Rc::clone(&self.executor))).detach();
+        let executor = Rc::clone(&self.executor);
+        block_on(executor.run(self.control(inputs)));
+    }
+
+    async fn control(self, inputs: Receiver<ControlInput>) {
+        let settings = &self.pipes.settings;
+        let timeout = settings.platform.timeout;
+        let objects = CallClient::new(settings.platform.objects, timeout, self.pipes.clock.clone());
+        let archive = EventArchive::new(
+            ObjectClient::new(objects),
+            self.pipes.events.clone(),
+            settings.name.as_str(),
+            self.pipes.incarnation,
+        );
+        let stopping = Rc::new(Cell::new(false));
+        let archiving = self.executor.spawn(keep_archive(
+            archive,
+            Rc::clone(&stopping),
+            self.pipes.clock.clone(),
+            settings.archive_interval,
+        ));
+        loop {
+            let wake = self.core.borrow().next_wake();
+            let tick = async {
+                self.pipes.clock.sleep_until(wake).await;
+                Some(ControlInput::Tick)
+            };
+            let Some(input) = async { inputs.recv().await.ok() }.or(tick).await else { break };
+            let outputs = self.core.borrow_mut().step(self.pipes.clock.now(), input);
+            outputs.into_iter().for_each(|output| self.perform(output));
+        }
+        stopping.set(true);
+        archiving.await;
+    }
+
+    fn perform(&self, output: ControlOutput) {
+        match output {
+            ControlOutput::Publish(fleet) => {
+                self.pipes.fleet.publish(fleet);
+                self.tell_addresses();
+                for pipe in self.pipes.traffic.iter() {
+                    // A core whose pipe is full looks at the new view with its next input.
+                    drop(pipe.try_send(TrafficInput::Tick));
+                }
+                let ready = self.core.borrow().status().ready;
+                self.pipes.ready.store(ready, Ordering::Relaxed);
+            }
+            ControlOutput::Send { to, message } => {
+                self.command(LinkCommand::Send { to, body: PeerBody::Control(message) });
+            }
+            ControlOutput::ReadTables => self.read_tables(),
+            ControlOutput::ReadInstances => self.read_instances(),
+            ControlOutput::Event(event) => {
+                self.pipes.metrics.note_control(&event);
+                self.pipes.events.note(EventLine::from(&event));
+            }
+        }
+    }
+
+    fn tell_addresses(&self) {
+        let core = self.core.borrow();
+        let rows = core.router_rows().map(|(name, row)| (name, row.address));
+        let addresses: HashMap<_, _> = rows.collect();
+        self.command(LinkCommand::Addresses(addresses));
+    }
+
+    fn command(&self, command: LinkCommand) {
+        if self.pipes.link.try_send(command).is_err() {
+            self.pipes.metrics.note_peer_fault("link-busy");
+        }
+    }
+
+    fn read_tables(&self) {
+        let (config, inputs) = (self.config.clone(), self.pipes.control.clone());
+        let read = async move {
+            let tables = config.read().await.ok().map(|reading| reading.tables);
+            drop(inputs.send(ControlInput::TablesRead(tables)).await);
+        };
+        self.executor.spawn(read).detach();
+    }
+
+    fn read_instances(&self) {
+        let (list, inputs) = (self.list.clone(), self.pipes.control.clone());
+        let read = async move {
+            let list = list.read().await.ok().map(|list| (list.version, list.rows));
+            drop(inputs.send(ControlInput::InstancesRead(list)).await);
+        };
+        self.executor.spawn(read).detach();
+    }
+}
+
+/// Archives events at intervals, and once more when the router stops.
+async fn keep_archive(
+    mut archive: EventArchive,
+    stopping: Rc<Cell<bool>>,
+    clock: ClockHandle,
+    interval: Duration,
+) {
+    /// How soon a stop is noticed.
+    const STOP_CHECK: Duration = Duration::from_millis(100);
+    let mut next = clock.now() + interval;
+    while !stopping.get() {
+        clock.sleep(STOP_CHECK).await;
+        if clock.now() >= next {
+            archive.store().await;
+            next = clock.now() + interval;
+        }
+    }
+    archive.store().await;
+}
--- /dev/null
+++ b/kwg-router/src/inbound_sink.rs
@@ -0,0 +1,32 @@
+use kwg_flow::{ControlInput, TrafficInput};
+use kwg_model::InstanceName;
+use kwg_peer::LinkSink;
+use kwg_wire::PeerBody;
+
+use crate::router_pipes::RouterPipes;
+
+/// Passes what comes over the links to the cores that it is for.
+#[derive(Debug)]
+pub(crate) struct InboundSink(pub(crate) RouterPipes);
+
+impl LinkSink for InboundSink {
+    fn deliver(&self, sender: InstanceName, body: PeerBody) {
+        match body {
+            PeerBody::Hello(_) => {}
+            PeerBody::Traffic { from, to, message } if from.instance == sender => {
+                self.0.to_core(&to, TrafficInput::Peer { from, message });
+            }
+            PeerBody::Traffic { .. } => self.note_fault("impostor"),
+            PeerBody::Control(message) => {
+                let input = ControlInput::Peer { from: sender, message };
+                if self.0.control.try_send(input).is_err() {
+                    self.note_fault("control-busy");
+                }
+            }
+        }
+    }
+
+    fn note_fault(&self, reason: &'static str) {
+        self.0.metrics.note_peer_fault(reason);
+    }
+}
--- /dev/null
+++ b/kwg-router/src/link_thread.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use async_executor::Executor;
+use async_io::block_on;
+use kwg_peer::{IdentityFiles, LinkCommand, LinkOptions, PeerLink, TlsIdentity};
+use snafu::ResultExt;
+
+use crate::RouterError;
+use crate::inbound_sink::InboundSink;
+use crate::router_error::LinkSnafu;
+use crate::router_pipes::RouterPipes;
+
+/// The thread of the links to other routers.
+#[derive(Debug)]
+pub(crate) struct LinkThread {
+    executor: Arc<Executor<'static>>,
+    link: PeerLink<InboundSink>,
+    commands: Receiver<LinkCommand>,
+}
+
+impl LinkThread {
+    /// Reads the keys and begins to listen, so that a fault shows before anything else runs.
+    pub(crate) fn bind(
+        pipes: &RouterPipes,
+        commands: Receiver<LinkCommand>,
+    ) -> Result<Self, RouterError> {
+        let files = &pipes.settings.peer;
+        let identity = TlsIdentity::load(IdentityFiles {
+            authority: &files.authority,
+            certificate: &files.certificate,
+            key: &files.key,
+        });
+        let options = LinkOptions {
+            own: pipes.settings.name.clone(),
+            address: files.address,
+            identity: identity.context(LinkSnafu)?,
+            clock: pipes.clock.clone(),
+            stamps: pipes.events.clock().clone(),
+        };
+        let executor = Arc::new(Executor::new());
+        let sink = Arc::new(InboundSink(pipes.clone()));
+        let link = PeerLink::bind(options, Arc::clone(&executor), sink).context(LinkSnafu)?;
+        Ok(Self { executor, link, commands })
+    }
+
+    /// Runs until the pipe of commands is closed.
+    pub(crate) fn run(self) {
+        block_on(self.executor.run(self.link.run(self.commands)));
+    }
+}
--- /dev/null
+++ b/kwg-router/src/router_pipes.rs
@@ -0,0 +1,100 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use async_channel::{Receiver, Sender, bounded};
+use kwg_clock::ClockHandle;
+use kwg_flow::{ControlInput, TrafficInput};
+use kwg_model::HomeAddress;
+use kwg_peer::LinkCommand;
+use kwg_settings::RouterSettings;
+use kwg_telemetry::{EventRing, MetricsBook};
+
+use crate::fleet_cell::FleetCell;
+
+/// Inputs that wait for a traffic core.
+const TRAFFIC_BACKLOG: usize = 8_192;
+/// Inputs that wait for the control core.
+const CONTROL_BACKLOG: usize = 4_096;
+/// Commands that wait for the link.
+const LINK_BACKLOG: usize = 8_192;
+
+/// The bounded pipes between the threads of a router, and what they all read.
+#[derive(Debug, Clone)]
+pub(crate) struct RouterPipes {
+    pub(crate) settings: Arc<RouterSettings>,
+    pub(crate) incarnation: u64,
+    pub(crate) clock: ClockHandle,
+    pub(crate) events: EventRing,
+    pub(crate) metrics: MetricsBook,
+    pub(crate) fleet: FleetCell,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) closing: Arc<AtomicBool>,
+    pub(crate) control: Sender<ControlInput>,
+    pub(crate) link: Sender<LinkCommand>,
+    pub(crate) traffic: Arc<[Sender<TrafficInput>]>,
+    pub(crate) drained: Sender<bool>,
+}
+
+/// The other ends of the pipes, each for one thread.
+#[derive(Debug)]
+pub(crate) struct PipeEnds {
+    pub(crate) control: Receiver<ControlInput>,
+    pub(crate) link: Receiver<LinkCommand>,
+    pub(crate) traffic: Vec<Receiver<TrafficInput>>,
+    pub(crate) drained: Receiver<bool>,
+}
+
+impl RouterPipes {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        incarnation: u64,
+        clock: ClockHandle,
+        events: EventRing,
+    ) -> (Self, PipeEnds) {
+        let threads = usize::from(settings.threads);
+        let (control, control_end) = bounded(CONTROL_BACKLOG);
+        let (link, link_end) = bounded(LINK_BACKLOG);
+        let (drained, drained_end) = bounded(threads);
+        let pipes = (0..threads).map(|_| bounded(TRAFFIC_BACKLOG));
+        let (traffic, traffic_ends): (Vec<_>, Vec<_>) = pipes.unzip();
+        let pipes = Self {
+            metrics: MetricsBook::with_shards(settings.threads),
+            settings: Arc::new(settings),
+            incarnation,
+            clock,
+            events,
+            fleet: FleetCell::default(),
+            ready: Arc::default(),
+            closing: Arc::default(),
+            control,
+            link,
+            traffic: traffic.into(),
+            drained,
+        };
+        let ends = PipeEnds {
+            control: control_end,
+            link: link_end,
+            traffic: traffic_ends,
+            drained: drained_end,
+        };
+        (pipes, ends)
+    }
+
+    /// The address of one traffic core of this router.
+    pub(crate) fn core_address(&self, shard: u16) -> HomeAddress {
+        let instance = self.settings.name.clone();
+        HomeAddress { instance, incarnation: self.incarnation, shard }
+    }
+
+    /// Passes an input to the traffic core that it is for, if it is one of this run. A full
+    /// pipe drops it: what matters is sent again.
+    pub(crate) fn to_core(&self, to: &HomeAddress, input: TrafficInput) {
+        let is_own = *to == self.core_address(to.shard);
+        let Some(pipe) = self.traffic.get(usize::from(to.shard)).filter(|_| is_own) else {
+            return self.metrics.note_peer_fault("other-run");
+        };
+        if pipe.try_send(input).is_err() {
+            self.metrics.note_peer_fault("core-busy");
+        }
+    }
+}
--- /dev/null
+++ b/kwg-router/src/router_process.rs
@@ -0,0 +1,143 @@
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering;
+use std::thread::{Builder, JoinHandle};
+
+use async_channel::Receiver;
+use async_io::{Async, block_on};
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use kwg_clock::ClockHandle;
+use kwg_flow::{ControlInput, TrafficInput};
+use kwg_settings::RouterSettings;
+use kwg_telemetry::{EventLine, EventRing, HybridClock};
+use rand::random;
+use snafu::ResultExt;
+
+use crate::RouterError;
+use crate::control_thread::ControlThread;
+use crate::link_thread::LinkThread;
+use crate::router_error::{ListenSnafu, SignalsSnafu, ThreadLostSnafu, ThreadSnafu};
+use crate::router_pipes::{PipeEnds, RouterPipes};
+use crate::traffic_thread::TrafficThread;
+
+/// A router as a process.
+#[derive(Debug)]
+pub struct RouterProcess;
+
+/// How a router stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouterOutcome {
+    /// Whether everything accepted had ended.
+    pub drained: bool,
+    /// Whether a successor has the ledgers.
+    pub handed_over: bool,
+}
+
+impl RouterProcess {
+    /// Runs a router until it is told to stop, and what it accepted has ended.
+    ///
+    /// # Errors
+    /// [`RouterError`] if an address or key cannot be used: then nothing has been started.
+    pub fn run(settings: RouterSettings) -> Result<RouterOutcome, RouterError> {
+        let incarnation: u64 = random();
+        let clock = ClockHandle::system();
+        let events = EventRing::new(HybridClock::default(), settings.name.as_str(), incarnation);
+        let front = listen(settings.front, "callers")?;
+        let admin = listen(settings.admin, "operators")?;
+        let (pipes, ends) = RouterPipes::new(settings, incarnation, clock, events);
+        let PipeEnds { control, link, traffic, drained } = ends;
+        let link = LinkThread::bind(&pipes, link)?;
+        let signals = Signals::new([Signal::Term, Signal::Int]).context(SignalsSnafu)?;
+        let admin = Async::new(admin).context(listen_error(&pipes, "operators"))?;
+        let mut fronts = Vec::new();
+        for _ in &traffic {
+            let listener = front.try_clone().and_then(Async::new);
+            fronts.push(listener.context(listen_error(&pipes, "callers"))?);
+        }
+        pipes.events.note(started_line(&pipes));
+        let link = start("kwg-link", move || link.run())?;
+        let control_pipes = pipes.clone();
+        let control_loop = move || ControlThread::new(control_pipes).run(control, admin);
+        let control = start("kwg-control", control_loop)?;
+        for (shard, (inputs, listener)) in (0..).zip(traffic.into_iter().zip(fronts)) {
+            let pipes = pipes.clone();
+            let name = format!("kwg-traffic-{shard}");
+            start(&name, move || TrafficThread::new(pipes, shard, random()).run(inputs, listener))?;
+        }
+        let outcome = block_on(supervise(&pipes, signals, &drained));
+        pipes.events.note(stopped_line(outcome));
+        pipes.control.close();
+        join(control, "kwg-control")?;
+        pipes.link.close();
+        join(link, "kwg-link")?;
+        Ok(outcome)
+    }
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, RouterError> {
+    TcpListener::bind(address).context(ListenSnafu { purpose, address })
+}
+
+fn listen_error(
+    pipes: &RouterPipes,
+    purpose: &'static str,
+) -> ListenSnafu<&'static str, SocketAddr> {
+    ListenSnafu { purpose, address: pipes.settings.front }
+}
+
+fn start(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, RouterError> {
+    Builder::new().name(name.to_owned()).spawn(run).context(ThreadSnafu { name })
+}
+
+fn join(thread: JoinHandle<()>, name: &str) -> Result<(), RouterError> {
+    thread.join().map_err(|_| ThreadLostSnafu { name }.build())
+}
+
+fn started_line(pipes: &RouterPipes) -> EventLine {
+    let settings = &pipes.settings;
+    EventLine::new("started")
+        .field("front", settings.front)
+        .field("admin", settings.admin)
+        .field("peer", settings.peer.address)
+        .field("threads", settings.threads)
+}
+
+fn stopped_line(outcome: RouterOutcome) -> EventLine {
+    EventLine::new("stopped")
+        .field("drained", outcome.drained)
+        .field("handed_over", outcome.handed_over)
+}
+
+/// Waits for the signal to stop, then lets the router serve on until balancers have noticed,
+/// and end what it accepted. A second signal cuts that short.
+async fn supervise(
+    pipes: &RouterPipes,
+    mut signals: Signals,
+    drained: &Receiver<bool>,
+) -> RouterOutcome {
+    signals.next().await;
+    pipes.events.note(EventLine::new("draining"));
+    pipes.closing.store(true, Ordering::Relaxed);
+    pipes.ready.store(false, Ordering::Relaxed);
+    drop(pipes.control.send(ControlInput::Drain).await);
+    let cut_short = async {
+        let timeout = pipes.settings.drain_notice + pipes.settings.drain_timeout;
+        let second = async {
+            signals.next().await;
+        };
+        second.or(pipes.clock.sleep(timeout)).await;
+        RouterOutcome { drained: false, handed_over: false }
+    };
+    let drain = async {
+        pipes.clock.sleep(pipes.settings.drain_notice).await;
+        for core in pipes.traffic.iter() {
+            drop(core.send(TrafficInput::Drain).await);
+        }
+        let mut handed_over = true;
+        for _ in pipes.traffic.iter() {
+            handed_over &= drained.recv().await.unwrap_or(false);
+        }
+        RouterOutcome { drained: true, handed_over }
+    };
+    drain.or(cut_short).await
+}
--- /dev/null
+++ b/kwg-router/src/traffic_thread.rs
@@ -0,0 +1,193 @@
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use futures_lite::FutureExt;
+use kwg_flow::{
+    DispatchOrder, ResumeOrder, TargetEvent, TrafficCore, TrafficIdentity, TrafficInput,
+    TrafficMessage, TrafficOutput,
+};
+use kwg_front::{CallerDesk, FrontContext, FrontServer};
+use kwg_model::{FleetSnapshot, HomeAddress, PoolName, TargetName, TicketKey};
+use kwg_peer::LinkCommand;
+use kwg_target::{TargetClient, TargetOptions};
+use kwg_telemetry::{EventLine, RouterGauges};
+use kwg_wire::PeerBody;
+
+use crate::router_pipes::RouterPipes;
+
+/// How long a stopped core waits for its callers to take their last replies.
+const LINGER: Duration = Duration::from_secs(1);
+/// How often that is looked at.
+const LINGER_CHECK: Duration = Duration::from_millis(10);
+
+/// The thread of one traffic core: callers' connections, streams of targets.
+pub(crate) struct TrafficThread {
+    pipes: RouterPipes,
+    address: HomeAddress,
+    core: TrafficCore,
+    fleet: Arc<FleetSnapshot>,
+    own: Sender<TrafficInput>,
+    desk: Rc<CallerDesk>,
+    targets: TargetClient,
+    gauges: RouterGauges,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl TrafficThread {
+    pub(crate) fn new(pipes: RouterPipes, shard: u16, seed: u64) -> Self {
+        let settings = &pipes.settings;
+        let address = pipes.core_address(shard);
+        let identity = TrafficIdentity {
+            address: address.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            shards: settings.threads,
+        };
+        let own = pipes.traffic[usize::from(shard)].clone();
+        let stamps = pipes.events.clock().clone();
+        Self {
+            core: TrafficCore::new(identity, settings.traffic, seed),
+            address,
+            fleet: Arc::default(),
+            desk: Rc::new(CallerDesk::new(own.clone(), settings.limits.reply_backlog)),
+            own,
+            targets: TargetClient::new(TargetOptions::default(), pipes.clock.clone(), stamps),
+            gauges: pipes.metrics.gauges(shard),
+            executor: Rc::new(LocalExecutor::new()),
+            pipes,
+        }
+    }
+
+    /// Runs until the core has drained, or the pipe of inputs is closed.
+    pub(crate) fn run(self, inputs: Receiver<TrafficInput>, listener: Async<TcpListener>) {
+        let context = FrontContext {
+            accounts: self.pipes.settings.accounts.clone().into(),
+            seal_key: self.pipes.settings.seal_key.clone(),
+            limits: self.pipes.settings.limits,
+            clock: self.pipes.clock.clone(),
+            desk: Rc::clone(&self.desk),
+            metrics: self.pipes.metrics.clone(),
+            ready: Arc::clone(&self.pipes.ready),
+            closing: Arc::clone(&self.pipes.closing),
+        };
+        let front = FrontServer::new(context);
+        let accepting = Rc::clone(&front).run(Rc::new(listener), Rc::clone(&self.executor));
+        self.executor.spawn(accepting).detach();
+        let executor = Rc::clone(&self.executor);
+        block_on(executor.run(self.traffic(inputs, front)));
+    }
+
+    async fn traffic(mut self, inputs: Receiver<TrafficInput>, front: Rc<FrontServer>) {
+        let clock = self.pipes.clock.clone();
+        let mut drained = None;
+        while let Some(input) = self.next_input(&inputs).await {
+            if let Some(fleet) = self.pipes.fleet.news(&self.fleet) {
+                self.fleet = Arc::clone(&fleet);
+                let outputs = self.core.step(clock.now(), TrafficInput::Fleet(fleet));
+                outputs.into_iter().for_each(|output| self.perform(output, &mut drained));
+            }
+            let outputs = self.core.step(clock.now(), input);
+            outputs.into_iter().for_each(|output| self.perform(output, &mut drained));
+            self.gauges.queued.set(i64::try_from(self.core.queued()).unwrap_or(i64::MAX));
+            self.gauges.running.set(i64::try_from(self.core.running()).unwrap_or(i64::MAX));
+            self.gauges.records.set(i64::try_from(self.core.record_count()).unwrap_or(i64::MAX));
+            if let Some(handed_over) = drained.take() {
+                self.linger(&front).await;
+                let _ = self.pipes.drained.send(handed_over).await;
+            }
+        }
+    }
+
+    /// Waits for the next input, or for the time that the core asked for.
+    async fn next_input(&self, inputs: &Receiver<TrafficInput>) -> Option<TrafficInput> {
+        let clock = &self.pipes.clock;
+        let wake = self.core.next_wake(clock.now());
+        let tick = async {
+            match wake {
+                Some(at) => clock.sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+            Some(TrafficInput::Tick)
+        };
+        async { inputs.recv().await.ok() }.or(tick).await
+    }
+
+    /// Lets callers take their last replies before the process ends.
+    async fn linger(&self, front: &FrontServer) {
+        let clock = &self.pipes.clock;
+        let until = clock.now() + LINGER;
+        while front.connections() > 0 && clock.now() < until {
+            clock.sleep(LINGER_CHECK).await;
+        }
+    }
+
+    fn perform(&self, output: TrafficOutput, drained: &mut Option<bool>) {
+        match output {
+            TrafficOutput::Reply { caller, reply } => {
+                if !self.desk.reply(caller, reply) {
+                    self.pipes.metrics.note_rejected("slow-caller");
+                }
+            }
+            TrafficOutput::Send { to, message } => self.send(to, message),
+            TrafficOutput::Dispatch(order) => self.dispatch(*order),
+            TrafficOutput::Resume(order) => self.resume(order),
+            TrafficOutput::Cancel { key, pool, target } => self.cancel(key, &pool, &target),
+            TrafficOutput::Event(event) => {
+                self.pipes.metrics.note_flow(&event);
+                self.pipes.events.note(EventLine::from(&event));
+            }
+            TrafficOutput::Inherited { home } => {
+                let successor = self.address.clone();
+                let input = kwg_flow::ControlInput::Inherited { home, successor };
+                if self.pipes.control.try_send(input).is_err() {
+                    self.pipes.metrics.note_peer_fault("control-busy");
+                }
+            }
+            TrafficOutput::Drained { handed_over } => *drained = Some(handed_over),
+        }
+    }
+
+    fn send(&self, to: HomeAddress, message: TrafficMessage) {
+        let from = self.address.clone();
+        if to.instance == from.instance {
+            return self.pipes.to_core(&to, TrafficInput::Peer { from, message });
+        }
+        let instance = to.instance.clone();
+        let body = PeerBody::Traffic { from, to, message };
+        let command = LinkCommand::Send { to: instance, body };
+        if self.pipes.link.try_send(command).is_err() {
+            self.pipes.metrics.note_peer_fault("link-busy");
+        }
+    }
+
+    fn dispatch(&self, order: DispatchOrder) {
+        let (targets, own) = (self.targets.clone(), self.own.clone());
+        let key = order.right.key().clone();
+        let task = async move { targets.dispatch(order, reporter(own, key)).await };
+        self.executor.spawn(task).detach();
+    }
+
+    fn resume(&self, order: ResumeOrder) {
+        let (targets, own, key) = (self.targets.clone(), self.own.clone(), order.key.clone());
+        let task = async move { targets.resume(order, reporter(own, key)).await };
+        self.executor.spawn(task).detach();
+    }
+
+    fn cancel(&self, key: TicketKey, pool: &PoolName, target: &TargetName) {
+        let rows = self.fleet.tables.pools.get(pool).map(|pool| pool.targets.iter());
+        let row = rows.and_then(|mut rows| rows.find(|row| row.name == *target));
+        let Some(address) = row.map(|row| row.address) else { return };
+        let targets = self.targets.clone();
+        self.executor.spawn(async move { targets.cancel(address, &key).await }).detach();
+    }
+}
+
+/// Reports a stream's events to the core, and waits while its pipe is full.
+fn reporter(own: Sender<TrafficInput>, key: TicketKey) -> impl AsyncFn(TargetEvent) {
+    async move |event| drop(own.send(TrafficInput::Target { key: key.clone(), event }).await)
+}
--- /dev/null
+++ b/kwg-settings/src/checked_ini.rs
@@ -0,0 +1,91 @@
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use ini::{Ini, ParseOption};
+use snafu::ResultExt;
+
+use crate::ini_error::{SyntaxSnafu, UnknownSnafu, UnreadableSnafu, key_of};
+use crate::line_index::LineIndex;
+use crate::{IniError, SectionReader};
+
+/// An INI file that remembers what was read of it, so that the rest can be refused.
+///
+/// ```
+/// use kwg_settings::CheckedIni;
+///
+/// let ini = CheckedIni::parse("demo.ini", "[router]\nthreads = 4\ntreads = 5\n")?;
+/// assert_eq!(ini.section("router").number("threads", 1..=64, Some(1))?, 4);
+/// let error = ini.finish().expect_err("a key is left over");
+/// assert_eq!(error.to_string(), "demo.ini:3: unknown key 'treads' in [router]");
+/// # Ok::<(), kwg_settings::IniError>(())
+/// ```
+#[derive(Debug)]
+pub struct CheckedIni {
+    pub(crate) file: String,
+    pub(crate) ini: Ini,
+    pub(crate) lines: LineIndex,
+    pub(crate) read: RefCell<BTreeSet<(String, String)>>,
+}
+
+impl CheckedIni {
+    /// Reads and parses a file.
+    ///
+    /// # Errors
+    /// [`IniError`] if the file is unreadable or no INI.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, IniError> {
+        let path = path.as_ref();
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Parses the text of a file; `file` names it in errors.
+    ///
+    /// # Errors
+    /// [`IniError`] if the text is no INI, or says something twice.
+    pub fn parse(file: &str, text: &str) -> Result<Self, IniError> {
+        let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
+        let ini = Ini::load_from_str_opt(text, options).map_err(|error| {
+            let (line, reason) = (error.line, error.msg.to_string());
+            SyntaxSnafu { file, line, reason }.build()
+        })?;
+        let lines = LineIndex::scan(file, text)?;
+        Ok(Self { file: file.to_owned(), ini, lines, read: RefCell::default() })
+    }
+
+    /// A reader of one section, which need not exist.
+    #[must_use]
+    pub fn section<'a>(&'a self, name: &'a str) -> SectionReader<'a> {
+        SectionReader::new(self, name)
+    }
+
+    /// The names of the sections, in the order of the file.
+    pub fn section_names(&self) -> impl Iterator<Item = &str> {
+        self.ini.sections().flatten()
+    }
+
+    /// Checks that everything in the file was asked for.
+    ///
+    /// # Errors
+    /// [`IniError::Unknown`] for the first section or key that nobody read.
+    pub fn finish(&self) -> Result<(), IniError> {
+        let read = self.read.borrow();
+        for (section, properties) in self.ini.iter() {
+            let section = section.unwrap_or("");
+            let file = &self.file;
+            let is_known = read.iter().any(|(known, _)| known == section);
+            if !is_known && !properties.is_empty() {
+                let line = self.lines.section(section);
+                return UnknownSnafu { file, line, what: format!("section [{section}]") }.fail();
+            }
+            for (key, _) in properties.iter() {
+                if !read.contains(&(section.to_owned(), key.to_owned())) {
+                    let line = self.lines.key(section, key);
+                    let what = key_of(section, key).to_string();
+                    return UnknownSnafu { file, line, what }.fail();
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/kwg-settings/src/lib.rs
+++ b/kwg-settings/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Settings and tables in INI: every key is typed and bounded, and what is not known is refused
+//! with its line.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod checked_ini;
+mod ini_error;
+mod line_index;
+mod router_settings;
+mod section_reader;
+mod table_files;
+
+pub use checked_ini::CheckedIni;
+pub use ini_error::IniError;
+pub use router_settings::{PeerFiles, PlatformAddresses, RouterSettings};
+pub use section_reader::SectionReader;
+pub use table_files::TableFiles;
--- /dev/null
+++ b/kwg-target/src/target_client.rs
@@ -0,0 +1,188 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http_types::{Method, Request, Response, StatusCode};
+use kwg_clock::ClockHandle;
+use kwg_flow::{DispatchOrder, ResumeOrder, TargetEvent};
+use kwg_http::{CallClient, CallError, SocketStream, WholeBody};
+use kwg_model::{ByteChunk, PoolKind, TicketKey};
+use kwg_telemetry::HybridClock;
+use snafu::{ResultExt, ensure};
+
+use crate::TargetHeaders;
+use crate::stream_error::{
+    BodySnafu, ExchangeSnafu, IdleSnafu, MissingSnafu, StatusSnafu, StreamError,
+};
+use crate::stream_reader::read_stream;
+
+/// Waiting times and limits towards targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetOptions {
+    /// How long a connection may take.
+    pub connect_timeout: Duration,
+    /// How long a stream may stand still.
+    pub idle_timeout: Duration,
+    /// Longest reply of a plain service, in bytes.
+    pub reply_bytes: usize,
+}
+
+impl Default for TargetOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(30),
+            reply_bytes: 4 << 20,
+        }
+    }
+}
+
+/// Talks to targets. Every call reports to the traffic core through a function.
+#[derive(Debug, Clone)]
+pub struct TargetClient {
+    options: TargetOptions,
+    clock: ClockHandle,
+    stamps: HybridClock,
+}
+
+impl TargetClient {
+    /// A client for any target.
+    #[must_use]
+    pub fn new(options: TargetOptions, clock: ClockHandle, stamps: HybridClock) -> Self {
+        Self { options, clock, stamps }
+    }
+
+    /// Dispatches a request and reports its answer.
+    ///
+    /// If the connection fails, no byte was written and the order is reported back whole.
+    /// After that nothing is tried again: the request may be running.
+    pub async fn dispatch(&self, order: DispatchOrder, report: impl AsyncFn(TargetEvent)) {
+        let client = self.call_client(order.address);
+        let (request, stream) = (self.dispatch_request(&client, &order), client.connect().await);
+        let (Ok(request), Ok(stream)) = (request, stream) else {
+            return report(TargetEvent::NotStarted(Box::new(order))).await;
+        };
+        let kind = order.kind;
+        // From here on the right to dispatch is spent.
+        drop(order);
+        let response = self.open(&client, stream, request).await;
+        let result = match (response, kind) {
+            (Ok(response), PoolKind::Engine) => self.read_engine(response, &report).await,
+            (Ok(response), PoolKind::Service) => self.read_service(response, &report).await,
+            (Err(error), _) => Err(error),
+        };
+        report_failure(result, &report).await;
+    }
+
+    /// Reads on a stream that was dispatched before.
+    pub async fn resume(&self, order: ResumeOrder, report: impl AsyncFn(TargetEvent)) {
+        let client = self.call_client(order.address);
+        let path = format!("{}?from={}", stream_path(&order.key), order.offset);
+        let result = async {
+            let request = client.request(Method::Get, path).context(ExchangeSnafu)?;
+            let stream = client.connect().await.context(ExchangeSnafu)?;
+            let response = self.open(&client, stream, request).await?;
+            self.read_engine(response, &report).await
+        };
+        report_failure(result.await, &report).await;
+    }
+
+    /// Tells a target to stop a stream; whether it does is of no consequence.
+    pub async fn cancel(&self, address: SocketAddr, key: &TicketKey) {
+        let client = self.call_client(address);
+        let request = client.request(Method::Delete, stream_path(key));
+        if let Ok(request) = request {
+            drop(client.call(request).await);
+        }
+    }
+
+    fn call_client(&self, address: SocketAddr) -> CallClient {
+        CallClient::new(address, self.options.connect_timeout, self.clock.clone())
+    }
+
+    async fn open(
+        &self,
+        client: &CallClient,
+        stream: SocketStream,
+        request: Request,
+    ) -> Result<Response, StreamError> {
+        let open = async { client.open(stream, request).await.context(ExchangeSnafu) };
+        let idle = async {
+            self.clock.sleep(self.options.idle_timeout).await;
+            IdleSnafu.fail()
+        };
+        open.or(idle).await
+    }
+
+    fn dispatch_request(
+        &self,
+        client: &CallClient,
+        order: &DispatchOrder,
+    ) -> Result<Request, CallError> {
+        let key = order.right.key();
+        let path = match order.kind {
+            PoolKind::Engine => stream_path(key),
+            PoolKind::Service => "/v1/call".to_owned(),
+        };
+        let mut request = client.request(Method::Post, path)?;
+        request.insert_header(TargetHeaders::TICKET, key.to_string());
+        request.insert_header(TargetHeaders::VERSION, order.version.as_str());
+        request.insert_header(TargetHeaders::MAX_TOKENS, order.max_tokens.to_string());
+        request.insert_header(TargetHeaders::STAMP, self.stamps.stamp().to_string());
+        request.set_body(&*order.body);
+        Ok(request)
+    }
+
+    async fn read_engine(
+        &self,
+        response: Response,
+        report: &impl AsyncFn(TargetEvent),
+    ) -> Result<(), StreamError> {
+        self.check_head(&response)?;
+        read_stream(response, self.options.idle_timeout, &self.clock, report).await
+    }
+
+    async fn read_service(
+        &self,
+        mut response: Response,
+        report: &impl AsyncFn(TargetEvent),
+    ) -> Result<(), StreamError> {
+        self.check_head(&response)?;
+        let body = WholeBody::read(response.take_body(), self.options.reply_bytes).await;
+        let body = body.context(BodySnafu)?;
+        let length = body.len() as u64;
+        report(TargetEvent::Part { offset: 0, chunk: ByteChunk::from(body) }).await;
+        report(TargetEvent::End { length }).await;
+        Ok(())
+    }
+
+    fn check_head(&self, response: &Response) -> Result<(), StreamError> {
+        let stamp = response.header(TargetHeaders::STAMP);
+        if let Some(stamp) = stamp.and_then(|stamp| stamp.as_str().parse().ok()) {
+            self.stamps.observe(stamp);
+        }
+        let status = response.status();
+        ensure!(status != StatusCode::NotFound, MissingSnafu);
+        ensure!(status == StatusCode::Ok, StatusSnafu { status });
+        Ok(())
+    }
+}
+
+fn stream_path(key: &TicketKey) -> String {
+    format!("/v1/streams/{key}")
+}
+
+async fn report_failure(result: Result<(), StreamError>, report: &impl AsyncFn(TargetEvent)) {
+    let Err(error) = result else { return };
+    report(match error {
+        StreamError::Missing => TargetEvent::Missing,
+        StreamError::Status { .. } | StreamError::TargetFailed { .. } => TargetEvent::Failed,
+        StreamError::Exchange { .. }
+        | StreamError::Read { .. }
+        | StreamError::NoEnd
+        | StreamError::Idle
+        | StreamError::Malformed { .. }
+        | StreamError::Body { .. } => TargetEvent::Cut,
+    })
+    .await;
+}
--- /dev/null
+++ b/kwg-telemetry/src/metrics_book.rs
@@ -0,0 +1,214 @@
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use kwg_flow::{ControlEvent, EventKind, FlowEvent};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Upper bounds of the buckets of waiting times, in seconds.
+const SECONDS_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5.0, 10.0, 60.0];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    tier: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TierLabels {
+    tier: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TargetLabels {
+    target: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+/// Sizes of a router that change with the load.
+#[derive(Debug, Clone, Default)]
+pub struct RouterGauges {
+    /// Requests that wait for room.
+    pub queued: Gauge,
+    /// Answers that have not ended.
+    pub running: Gauge,
+    /// Records of tickets and answers.
+    pub records: Gauge,
+}
+
+/// Every metric of a router.
+///
+/// ```
+/// let book = kwg_telemetry::MetricsBook::new();
+/// assert!(book.render().contains("kwg_queued_requests"));
+/// ```
+#[derive(Clone)]
+pub struct MetricsBook {
+    registry: Arc<Registry>,
+    requests: Family<OutcomeLabels, Counter>,
+    first_byte: Family<TierLabels, Histogram, fn() -> Histogram>,
+    answer: Family<TierLabels, Histogram, fn() -> Histogram>,
+    dispatches: Family<TargetLabels, Counter>,
+    cuts: Family<TargetLabels, Counter>,
+    joins: Counter,
+    recovered: Counter,
+    rejected: Family<ReasonLabels, Counter>,
+    peer_faults: Family<ReasonLabels, Counter>,
+    platform_outages: Counter,
+    revision: Gauge<u64, AtomicU64>,
+    gauges: Vec<RouterGauges>,
+}
+
+impl fmt::Debug for MetricsBook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MetricsBook").finish_non_exhaustive()
+    }
+}
+
+impl Default for MetricsBook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MetricsBook {
+    /// A book for a router with one traffic core.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::with_shards(1)
+    }
+
+    /// A book for a router with so many traffic cores.
+    #[must_use]
+    pub fn with_shards(shards: u16) -> Self {
+        let seconds: fn() -> Histogram = || Histogram::new(SECONDS_BUCKETS);
+        let mut book = Self {
+            registry: Arc::default(),
+            requests: Family::default(),
+            first_byte: Family::new_with_constructor(seconds),
+            answer: Family::new_with_constructor(seconds),
+            dispatches: Family::default(),
+            cuts: Family::default(),
+            joins: Counter::default(),
+            recovered: Counter::default(),
+            rejected: Family::default(),
+            peer_faults: Family::default(),
+            platform_outages: Counter::default(),
+            revision: Gauge::default(),
+            gauges: (0..shards).map(|_| RouterGauges::default()).collect(),
+        };
+        book.registry = Arc::new(book.register());
+        book
+    }
+
+    fn register(&self) -> Registry {
+        let mut all = Registry::with_prefix("kwg");
+        all.register("requests", "Requests ended, by tier and outcome", self.requests.clone());
+        let (first, answer) = (self.first_byte.clone(), self.answer.clone());
+        all.register_with_unit("first_byte", "From arrival to first byte", Unit::Seconds, first);
+        all.register_with_unit("answer", "From arrival to end", Unit::Seconds, answer);
+        all.register("dispatches", "Requests sent to a target", self.dispatches.clone());
+        all.register("cuts", "Streams of a target that broke off", self.cuts.clone());
+        all.register("joins", "Resends that joined another router's answer", self.joins.clone());
+        all.register("recovered", "Answers joined or resumed to their end", self.recovered.clone());
+        all.register("rejected", "Submissions not accepted, by reason", self.rejected.clone());
+        all.register("peer_faults", "Faults of peer links, by reason", self.peer_faults.clone());
+        let outages = self.platform_outages.clone();
+        all.register("platform_outages", "Times the platform stopped answering", outages);
+        all.register("tables_revision", "Revision of the tables in force", self.revision.clone());
+        for (shard, gauges) in self.gauges.iter().enumerate() {
+            let labels = [("shard".into(), shard.to_string().into())].into_iter();
+            let shard = all.sub_registry_with_labels(labels);
+            shard.register("queued_requests", "Requests waiting for room", gauges.queued.clone());
+            shard.register("running_answers", "Answers not ended", gauges.running.clone());
+            shard.register("records", "Records of tickets and answers", gauges.records.clone());
+        }
+        all
+    }
+
+    /// The sizes of one traffic core.
+    #[must_use]
+    pub fn gauges(&self, shard: u16) -> RouterGauges {
+        self.gauges.get(usize::from(shard)).cloned().unwrap_or_default()
+    }
+
+    /// Counts an event of a request.
+    pub fn note_flow(&self, event: &FlowEvent) {
+        match &event.kind {
+            EventKind::Dispatched { target, .. } => {
+                let labels = TargetLabels { target: target.to_string() };
+                self.dispatches.get_or_create(&labels).inc();
+            }
+            EventKind::Cut { target } => {
+                let labels = TargetLabels { target: target.to_string() };
+                self.cuts.get_or_create(&labels).inc();
+            }
+            EventKind::Joined { .. } => {
+                self.joins.inc();
+            }
+            EventKind::Recovered { .. } => {
+                self.recovered.inc();
+            }
+            EventKind::Answered { tier, total, first_byte, .. } => {
+                let labels = TierLabels { tier: (*tier).into() };
+                self.answer.get_or_create(&labels).observe(total.as_secs_f64());
+                if let Some(first_byte) = first_byte {
+                    self.first_byte.get_or_create(&labels).observe(first_byte.as_secs_f64());
+                }
+                self.count_request(tier.to_string(), "answered", "");
+            }
+            EventKind::Failed { outcome, tier } => {
+                let tier = tier.map_or_else(String::new, |tier| tier.to_string());
+                self.count_request(tier, outcome.as_str(), outcome.reason());
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts an event of the whole router.
+    pub fn note_control(&self, event: &ControlEvent) {
+        match event {
+            ControlEvent::TablesInForce { revision, .. } => {
+                self.revision.set(*revision);
+            }
+            ControlEvent::PlatformDown { .. } => {
+                self.platform_outages.inc();
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a submission that was not accepted.
+    pub fn note_rejected(&self, reason: &'static str) {
+        self.rejected.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// Counts a fault of a peer link.
+    pub fn note_peer_fault(&self, reason: &'static str) {
+        self.peer_faults.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("strings grow");
+        text
+    }
+
+    fn count_request(&self, tier: String, outcome: &'static str, reason: &'static str) {
+        self.requests.get_or_create(&OutcomeLabels { tier, outcome, reason }).inc();
+    }
+}
--- a/kwg-wire/src/lib.rs
+++ b/kwg-wire/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Encodings, apart from every decision: the frames that routers send each other and the
+//! server-sent events of answers.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod frame_codec;
+mod frame_reader;
+mod peer_frame;
+mod sse_event;
+mod sse_parser;
+
+pub use frame_codec::{FrameCodec, FrameError};
+pub use frame_reader::FrameReader;
+pub use peer_frame::{PeerBody, PeerFrame};
+pub use sse_event::{SseEvent, SseKind};
+pub use sse_parser::{SseError, SseParser};
--- /dev/null
+++ b/kwg-wire/src/sse_parser.rs
@@ -0,0 +1,106 @@
+use kwg_model::ByteChunk;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+use crate::sse_event::{BYTES_EVENT, END_EVENT, FAILED_EVENT};
+use crate::{SseEvent, SseKind};
+
+/// Longest event, in bytes.
+const EVENT_MAX_BYTES: usize = 4 << 20;
+
+/// Cuts a stream of bytes into events.
+///
+/// ```
+/// use kwg_wire::{SseKind, SseParser};
+///
+/// let mut parser = SseParser::default();
+/// parser.push(b"id: 2\ndata: \"hi\"\n\nid: 2\nevent: end\nda");
+/// let event = parser.next_event()?.expect("one is whole");
+/// assert_eq!(event.kind, SseKind::Part(b"hi".as_slice().into()));
+/// assert_eq!(parser.next_event()?, None, "a cut event is no event");
+/// # Ok::<(), kwg_wire::SseError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct SseParser {
+    bytes: Vec<u8>,
+    consumed: usize,
+}
+
+/// The error for bytes that are no event of an answer.
+#[derive(Debug, Snafu)]
+pub enum SseError {
+    /// An event does not end.
+    #[snafu(display("an event is longer than {EVENT_MAX_BYTES} bytes"))]
+    TooLong,
+    /// An event lacks its offset or its data, or has an unknown name.
+    #[snafu(display("malformed event: {reason}"))]
+    Malformed {
+        /// What is wrong.
+        reason: &'static str,
+    },
+    /// The data does not decode.
+    #[snafu(display("malformed event data"))]
+    Data {
+        /// Where the decoder stopped.
+        source: serde_json::Error,
+    },
+}
+
+impl SseParser {
+    /// Adds bytes as they came in.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.consumed > 0 {
+            self.bytes.drain(..self.consumed);
+            self.consumed = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, `None` if bytes are still missing.
+    ///
+    /// # Errors
+    /// [`SseError`] if the stream is no longer usable.
+    pub fn next_event(&mut self) -> Result<Option<SseEvent>, SseError> {
+        let rest = &self.bytes[self.consumed..];
+        let Some(end) = rest.windows(2).position(|pair| pair == b"\n\n") else {
+            ensure!(rest.len() <= EVENT_MAX_BYTES, TooLongSnafu);
+            return Ok(None);
+        };
+        let event = parse_event(&rest[..end])?;
+        self.consumed += end + 2;
+        Ok(Some(event))
+    }
+}
+
+fn parse_event(bytes: &[u8]) -> Result<SseEvent, SseError> {
+    let text = std::str::from_utf8(bytes).ok();
+    let text = text.context(MalformedSnafu { reason: "not UTF-8" })?;
+    let (mut offset, mut name, mut data) = (None, "", None);
+    for line in text.lines() {
+        match line.split_once(": ") {
+            Some(("id", value)) => offset = value.parse().ok(),
+            Some(("event", value)) => name = value,
+            Some(("data", value)) => data = Some(value),
+            _ => {}
+        }
+    }
+    let offset: u64 = offset.context(MalformedSnafu { reason: "no offset" })?;
+    let data = data.context(MalformedSnafu { reason: "no data" })?;
+    let kind = match name {
+        "" => {
+            let text: String = serde_json::from_str(data).context(DataSnafu)?;
+            SseKind::Part(ByteChunk::from(text.into_bytes()))
+        }
+        BYTES_EVENT => {
+            let bytes: Vec<u8> = serde_json::from_str(data).context(DataSnafu)?;
+            SseKind::Part(ByteChunk::from(bytes))
+        }
+        END_EVENT => SseKind::End,
+        FAILED_EVENT => SseKind::Failed(serde_json::from_str(data).context(DataSnafu)?),
+        _ => return MalformedSnafu { reason: "unknown event" }.fail(),
+    };
+    if let SseKind::Part(chunk) = &kind {
+        let fits = chunk.len() as u64 <= offset;
+        ensure!(fits, MalformedSnafu { reason: "an offset before the event's own bytes" });
+    }
+    Ok(SseEvent { offset, kind })
+}
