--- /dev/null
+++ b/kwg-standin/src/engine/engine_standin.rs
@@ -0,0 +1,165 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use http_types::{Body, Method, Request, Response, StatusCode};
+use kwg_http::SocketStream;
+use kwg_target::TargetHeaders;
+use kwg_telemetry::{EventLine, EventRing};
+use serde_json::json;
+
+use super::EngineOptions;
+use super::engine_state::EngineState;
+use super::stream_body::StreamBody;
+use crate::{HttpService, PageHandler};
+
+/// A request whose body contains this crashes the engine.
+const POISON: &[u8] = b"POISON";
+/// Exit code of an engine that crashed.
+const CRASH_CODE: i32 = 86;
+/// Tokens of an answer whose caller names no number.
+const TOKENS_DEFAULT: u32 = 16;
+
+/// A model engine over HTTP.
+#[derive(Debug)]
+pub struct EngineStandin {
+    state: RefCell<EngineState>,
+    events: EventRing,
+}
+
+impl EngineStandin {
+    /// Runs an engine for ever.
+    ///
+    /// # Errors
+    /// The system's error if the address cannot be listened on.
+    pub async fn run(
+        address: SocketAddr,
+        options: EngineOptions,
+        events: EventRing,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> std::io::Result<()> {
+        let state = RefCell::new(EngineState::new(options));
+        let engine = Rc::new(Self { state, events });
+        let decoder = Rc::clone(&engine);
+        let decode = async move {
+            loop {
+                let step = decoder.state.borrow_mut().step();
+                Timer::after(step).await;
+            }
+        };
+        executor.spawn(decode).detach();
+        HttpService::serve(address, engine, executor).await
+    }
+
+    async fn start(&self, id: &str, mut request: Request) -> Option<Response> {
+        let stamp = number(&request, TargetHeaders::STAMP);
+        self.events.clock().observe(stamp.unwrap_or(0));
+        let body = request.body_bytes().await.ok()?;
+        self.events.note(EventLine::new("engine-dispatch").field("ticket", id));
+        if body.windows(POISON.len()).any(|window| window == POISON) {
+            self.events.note(EventLine::new("engine-crash").field("ticket", id));
+            std::process::exit(CRASH_CODE);
+        }
+        let tokens = number(&request, TargetHeaders::MAX_TOKENS);
+        let tokens = tokens.and_then(|tokens| u32::try_from(tokens).ok());
+        let tokens = tokens.unwrap_or(TOKENS_DEFAULT);
+        let (cell, cached) = self.state.borrow_mut().start(id, body, tokens);
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header("kwg-cached-tokens", cached.to_string());
+        response.insert_header(TargetHeaders::STAMP, self.events.clock().stamp().to_string());
+        response.set_body(Body::from_reader(StreamBody::new(cell, 0), None));
+        Some(response)
+    }
+
+    fn resume(&self, id: &str, request: &Request) -> Response {
+        let state = self.state.borrow();
+        let Some(cell) = state.streams.get(id) else {
+            return Response::new(StatusCode::NotFound);
+        };
+        let from = request.url().query_pairs().find(|(name, _)| name == "from");
+        let from = from.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(StreamBody::new(cell.clone(), from), None));
+        response
+    }
+
+    fn cancel(&self, id: &str) -> Response {
+        let state = self.state.borrow();
+        let Some(cell) = state.streams.get(id) else {
+            return Response::new(StatusCode::NotFound);
+        };
+        cell.lock().cancel();
+        Response::new(StatusCode::Ok)
+    }
+
+    /// Takes an order: `fence` and `version`.
+    fn order(&self, request: &Request) -> Response {
+        let mut state = self.state.borrow_mut();
+        let (mut fence, mut version) = (0, None);
+        for (name, value) in request.url().query_pairs() {
+            match &*name {
+                "fence" => fence = value.parse().unwrap_or(0),
+                "version" => version = Some(value.into_owned()),
+                _ => return Response::new(StatusCode::BadRequest),
+            }
+        }
+        if state.options.heeds_fencing && fence < state.fence {
+            return Response::new(StatusCode::Conflict);
+        }
+        state.fence = state.fence.max(fence);
+        state.version = version.unwrap_or_else(|| state.version.clone());
+        Response::new(StatusCode::Ok)
+    }
+
+    /// Switches a fault on: `slowdown=N`.
+    fn fault(&self, request: &Request) -> Response {
+        let mut state = self.state.borrow_mut();
+        for (name, value) in request.url().query_pairs() {
+            match &*name {
+                "slowdown" => state.slowdown = value.parse().unwrap_or(1),
+                _ => return Response::new(StatusCode::BadRequest),
+            }
+        }
+        Response::new(StatusCode::Ok)
+    }
+
+    fn stats(&self) -> Response {
+        let state = self.state.borrow();
+        json_page(&json!({
+            "dispatched": state.dispatches.len(),
+            "dispatched_twice": state.dispatched_twice(),
+            "tickets": state.dispatches.keys().collect::<Vec<_>>(),
+            "version": state.version,
+        }))
+    }
+}
+
+impl PageHandler for EngineStandin {
+    async fn page(self: Rc<Self>, request: Request, _socket: SocketStream) -> Option<Response> {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.strip_prefix("/v1/streams/")) {
+            (Method::Post, Some(id)) => self.start(id, request).await,
+            (Method::Get, Some(id)) => Some(self.resume(id, &request)),
+            (Method::Delete, Some(id)) => Some(self.cancel(id)),
+            (Method::Get, None) if path == "/v1/load" => {
+                Some(json_page(&self.state.borrow().report()))
+            }
+            (Method::Post, None) if path == "/v1/orders" => Some(self.order(&request)),
+            (Method::Post, None) if path == "/fault" => Some(self.fault(&request)),
+            (Method::Get, None) if path == "/stats" => Some(self.stats()),
+            _ => Some(Response::new(StatusCode::NotFound)),
+        }
+    }
+}
+
+fn number(request: &Request, name: &str) -> Option<u64> {
+    request.header(name).and_then(|value| value.as_str().parse().ok())
+}
+
+pub(crate) fn json_page(page: &impl serde::Serialize) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(serde_json::to_vec(page).expect("pages of text and numbers encode"));
+    response
+}
--- /dev/null
+++ b/kwg-standin/src/engine/engine_state.rs
@@ -0,0 +1,96 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use super::EngineOptions;
+use super::prefix_cache::PrefixCache;
+use super::stream_cell::StreamCell;
+
+/// Bytes of a prompt that make a token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// What an engine knows, apart from its sockets.
+#[derive(Debug)]
+pub(super) struct EngineState {
+    pub(super) options: EngineOptions,
+    pub(super) version: String,
+    pub(super) fence: u64,
+    pub(super) streams: BTreeMap<String, StreamCell>,
+    pub(super) dispatches: BTreeMap<String, u32>,
+    pub(super) slowdown: u32,
+    cache: PrefixCache,
+    reports: VecDeque<(Instant, LoadReport)>,
+}
+
+/// What an engine says of its load.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(super) struct LoadReport {
+    pub(super) running: usize,
+    pub(super) version: String,
+}
+
+impl EngineState {
+    pub(super) fn new(options: EngineOptions) -> Self {
+        Self {
+            version: options.version.clone(),
+            fence: 0,
+            streams: BTreeMap::new(),
+            dispatches: BTreeMap::new(),
+            slowdown: 1,
+            cache: PrefixCache::new(options.cache_prefixes),
+            reports: VecDeque::new(),
+            options,
+        }
+    }
+
+    /// Starts a stream; the number of cached tokens goes into the response's head.
+    pub(super) fn start(&mut self, id: &str, body: Vec<u8>, tokens: u32) -> (StreamCell, usize) {
+        *self.dispatches.entry(id.to_owned()).or_default() += 1;
+        let cached = self.cache.touch(&body);
+        let prefill = (body.len() - cached) / BYTES_PER_TOKEN;
+        let seconds = prefill as f64 / self.options.prefill_per_second as f64;
+        let starts_at = Instant::now() + Duration::from_secs_f64(seconds);
+        let cell = StreamCell::new(body, tokens, starts_at);
+        self.streams.insert(id.to_owned(), cell.clone());
+        (cell, cached / BYTES_PER_TOKEN)
+    }
+
+    /// Decodes one token of every running stream; how long the step took.
+    pub(super) fn step(&mut self) -> Duration {
+        let now = Instant::now();
+        let keep = self.options.keep_streams;
+        self.streams.retain(|_, cell| {
+            let state = cell.lock();
+            let is_old = state.ended_at.is_some_and(|ended| now.duration_since(ended) > keep);
+            !is_old && !state.is_cancelled
+        });
+        let mut running = 0;
+        for cell in self.streams.values() {
+            let mut state = cell.lock();
+            if state.is_running() {
+                running += 1;
+                state.step(now);
+            }
+        }
+        let report = LoadReport { running: running as usize, version: self.version.clone() };
+        self.reports.push_back((now, report));
+        while self.reports.len() > 1
+            && now.duration_since(self.reports[1].0) >= self.options.report_lag
+        {
+            self.reports.pop_front();
+        }
+        let step = self.options.step + self.options.step_per_stream * running;
+        step * self.slowdown
+    }
+
+    /// The load as it was some time ago.
+    pub(super) fn report(&self) -> LoadReport {
+        self.reports.front().map(|(_, report)| report.clone()).unwrap_or_default()
+    }
+
+    /// How many streams were dispatched more than once.
+    pub(super) fn dispatched_twice(&self) -> usize {
+        self.dispatches.values().filter(|count| **count > 1).count()
+    }
+}
--- /dev/null
+++ b/kwg-standin/src/plain_service.rs
@@ -0,0 +1,73 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use http_types::{Method, Request, Response, StatusCode};
+use kwg_http::SocketStream;
+use kwg_target::TargetHeaders;
+use kwg_telemetry::{EventLine, EventRing};
+use serde_json::json;
+
+use crate::engine::json_page;
+use crate::{HttpService, PageHandler, ReferenceAnswer};
+
+/// Length of a reply, in tokens of the reference answer.
+const REPLY_TOKENS: u32 = 2;
+
+/// A plain service whose calls may not be repeated: it counts them.
+#[derive(Debug)]
+pub struct ServiceStandin {
+    delay: Duration,
+    calls: RefCell<BTreeMap<String, u32>>,
+    events: EventRing,
+}
+
+impl ServiceStandin {
+    /// Runs a service for ever; each call takes `delay`.
+    ///
+    /// # Errors
+    /// The system's error if the address cannot be listened on.
+    pub async fn run(
+        address: SocketAddr,
+        delay: Duration,
+        events: EventRing,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> std::io::Result<()> {
+        let service = Rc::new(Self { delay, calls: RefCell::default(), events });
+        HttpService::serve(address, service, executor).await
+    }
+
+    async fn call(&self, mut request: Request) -> Option<Response> {
+        let ticket = request.header(TargetHeaders::TICKET)?.as_str().to_owned();
+        let body = request.body_bytes().await.ok()?;
+        self.events.note(EventLine::new("service-call").field("ticket", &ticket));
+        *self.calls.borrow_mut().entry(ticket).or_default() += 1;
+        Timer::after(self.delay).await;
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(ReferenceAnswer::text(&body, REPLY_TOKENS));
+        Some(response)
+    }
+
+    fn stats(&self) -> Response {
+        let calls = self.calls.borrow();
+        json_page(&json!({
+            "dispatched": calls.len(),
+            "dispatched_twice": calls.values().filter(|count| **count > 1).count(),
+            "tickets": calls.keys().collect::<Vec<_>>(),
+        }))
+    }
+}
+
+impl PageHandler for ServiceStandin {
+    async fn page(self: Rc<Self>, request: Request, _socket: SocketStream) -> Option<Response> {
+        match (request.method(), request.url().path()) {
+            (Method::Post, "/v1/call") => self.call(request).await,
+            (Method::Get, "/stats") => Some(self.stats()),
+            _ => Some(Response::new(StatusCode::NotFound)),
+        }
+    }
+}
