--- /dev/null
+++ b/kwg-bench/src/fleet.rs
@@ -0,0 +1,12 @@
+//! A small fleet of real processes on this machine: routers, stand-in targets, the platform.
+
+mod fleet_harness;
+mod fleet_plan;
+mod fleet_process;
+mod free_port;
+mod ticket_log;
+
+pub use fleet_harness::FleetHarness;
+pub use fleet_plan::FleetPlan;
+pub use fleet_process::FleetProcess;
+pub use ticket_log::TicketLog;
--- /dev/null
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -0,0 +1,301 @@
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use async_io::{Timer, block_on};
+use data_encoding::HEXLOWER;
+use http_types::{Method, StatusCode};
+use kwg_clock::ClockHandle;
+use kwg_http::CallClient;
+use kwg_model::{AccountGrant, AccountName, DispatchTicket, SealKey};
+use kwg_peer::FleetAuthority;
+use kwg_standin::CallerAgent;
+use serde_json::json;
+
+use super::free_port::free_address;
+use super::{FleetPlan, FleetProcess, TicketLog};
+
+/// The secret, account and key of every test fleet.
+const SEAL_SECRET: &str = "a secret of test fleets only";
+const ACCOUNT: &str = "tests";
+const ACCOUNT_KEY: &str = "a key of test fleets only";
+/// How long a fleet may take to come up.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Failure domains and regions that routers and targets are spread over.
+const DOMAINS: [(&str, &str); 3] = [("ost-graz", "ost"), ("ost-wien", "ost"), ("west-ibk", "west")];
+
+/// A fleet under test. Dropping it ends its processes and removes its files.
+#[derive(Debug)]
+pub struct FleetHarness {
+    /// The routers.
+    pub routers: Vec<FleetProcess>,
+    /// The engines.
+    pub engines: Vec<FleetProcess>,
+    /// The plain service.
+    pub service: FleetProcess,
+    /// The platform.
+    pub platform: FleetProcess,
+    fronts: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
+    platform_address: SocketAddr,
+    engine_addresses: Vec<SocketAddr>,
+    dir: PathBuf,
+}
+
+impl FleetHarness {
+    /// Starts a fleet and waits until every router is ready. The binaries lie in `bin`.
+    #[must_use]
+    pub fn start(bin: &Path, plan: &FleetPlan) -> Self {
+        let name = format!("kwg-fleet-{:016x}", rand::random::<u64>());
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).expect("the temporary folder is writable");
+        let (standin, router) = (bin.join("kwg-standin"), bin.join("knapweedglade"));
+        let platform_address = free_address();
+        let arguments = vec!["platform".into(), "--address".into(), platform_address.to_string()];
+        let platform = FleetProcess::start(&standin, arguments, dir.join("platform.out"));
+        let engine_addresses: Vec<SocketAddr> = (0..plan.engines).map(|_| free_address()).collect();
+        let engines = engine_addresses.iter().enumerate();
+        let engines = engines.map(|(number, address)| {
+            let arguments = engine_arguments(&dir, number, *address, plan);
+            FleetProcess::start(&standin, arguments, dir.join(format!("e{number}.out")))
+        });
+        let engines = engines.collect();
+        let service_address = free_address();
+        let service_arguments = ["service", "--name", "s0", "--address"].map(str::to_owned);
+        let mut service_arguments = service_arguments.to_vec();
+        service_arguments.push(service_address.to_string());
+        service_arguments.extend(["--delay-ms".to_owned(), plan.service_ms.to_string()]);
+        service_arguments.extend(["--log".to_owned(), dir.join("s0.log").display().to_string()]);
+        let service = FleetProcess::start(&standin, service_arguments, dir.join("s0.out"));
+        let fronts: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
+        let admins: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
+        let mut harness = Self {
+            routers: Vec::new(),
+            engines,
+            service,
+            platform,
+            fronts,
+            admins,
+            platform_address,
+            engine_addresses,
+            dir,
+        };
+        harness.wait_for(platform_address, "/stats");
+        harness.put_tables(&router, plan, service_address);
+        harness.start_routers(&router, plan);
+        harness
+    }
+
+    /// Where the routers listen for callers.
+    #[must_use]
+    pub fn fronts(&self) -> &[SocketAddr] {
+        &self.fronts
+    }
+
+    /// Where the routers listen for operators.
+    #[must_use]
+    pub fn admins(&self) -> &[SocketAddr] {
+        &self.admins
+    }
+
+    /// Where the engines listen.
+    #[must_use]
+    pub fn engine_addresses(&self) -> &[SocketAddr] {
+        &self.engine_addresses
+    }
+
+    /// A caller that knows all routers.
+    #[must_use]
+    pub fn caller(&self) -> CallerAgent {
+        CallerAgent::new(self.fronts.clone(), ACCOUNT_KEY)
+    }
+
+    /// The key of the fleet's client account.
+    #[must_use]
+    pub fn account_key(&self) -> &'static str {
+        ACCOUNT_KEY
+    }
+
+    /// Switches a fault of the platform, given as a query.
+    pub fn fault_platform(&self, query: &str) {
+        let client = client(self.platform_address);
+        let request = client.request(Method::Post, format!("/fault?{query}"));
+        drop(block_on(client.call(request.expect("a valid path"))));
+    }
+
+    /// Whether a router says that it is ready.
+    #[must_use]
+    pub fn is_ready(&self, router: usize) -> bool {
+        block_on(get(self.admins[router], "/ready")).is_some()
+    }
+
+    /// Waits until a router says that it is ready.
+    pub fn wait_ready(&self, router: usize) {
+        self.wait_for(self.admins[router], "/ready");
+    }
+
+    /// What the targets' logs say of every ticket.
+    #[must_use]
+    pub fn ticket_log(&self) -> TicketLog {
+        let mut log = TicketLog::default();
+        for number in 0..self.engines.len() {
+            log.add(&self.dir.join(format!("e{number}.log")));
+        }
+        log.add(&self.dir.join("s0.log"));
+        log
+    }
+
+    /// The key under which targets see a ticket that a caller holds.
+    #[must_use]
+    pub fn key_of(&self, ticket: &str) -> String {
+        let account = AccountName::new(ACCOUNT).expect("a valid name");
+        let ticket = DispatchTicket::from_text(ticket, &SealKey::derive(SEAL_SECRET), &account);
+        ticket.expect("routers hand out their own tickets").key.to_string()
+    }
+
+    /// The log files of all routers.
+    #[must_use]
+    pub fn router_logs(&self) -> Vec<PathBuf> {
+        (0..self.routers.len()).map(|number| self.dir.join(format!("r{number}.log"))).collect()
+    }
+
+    fn wait_for(&self, address: SocketAddr, path: &str) {
+        let start = Instant::now();
+        while block_on(get(address, path)).is_none() {
+            assert!(start.elapsed() < READY_TIMEOUT, "{address}{path} does not answer");
+            block_on(Timer::after(Duration::from_millis(20)));
+        }
+    }
+
+    fn put_tables(&self, binary: &Path, plan: &FleetPlan, service: SocketAddr) {
+        let routes = "[patches]\npool = graz\ntier = 0\n[labels]\npool = graz\ntier = 3\n\
+                      [bookings]\npool = desk\ntier = 1\n";
+        let mut pools = "[graz]\nversion = v1\n".to_owned();
+        for (number, address) in self.engine_addresses.iter().enumerate() {
+            let (domain, region) = DOMAINS[number % DOMAINS.len()];
+            let limit = plan.limit_tokens;
+            write!(
+                pools,
+                "[graz/e{number}]\naddress = {address}\ndomain = {domain}\nregion = {region}\n\
+                 limit_tokens = {limit}\n"
+            )
+            .expect("strings grow");
+        }
+        let (domain, region) = DOMAINS[0];
+        write!(
+            pools,
+            "[desk]\nkind = service\nversion = v1\n[desk/s0]\naddress = {service}\n\
+             domain = {domain}\nregion = {region}\nlimit_tokens = 100000\n"
+        )
+        .expect("strings grow");
+        let (routes_file, pools_file) = (self.dir.join("routes.ini"), self.dir.join("pools.ini"));
+        std::fs::write(&routes_file, routes).expect("the fleet's folder is writable");
+        std::fs::write(&pools_file, pools).expect("the fleet's folder is writable");
+        let arguments = vec![
+            "tables".to_owned(),
+            "put".to_owned(),
+            "--tables".to_owned(),
+            self.platform_address.to_string(),
+            "--routes".to_owned(),
+            routes_file.display().to_string(),
+            "--pools".to_owned(),
+            pools_file.display().to_string(),
+        ];
+        let mut put = FleetProcess::start(binary, arguments, self.dir.join("tables.out"));
+        assert!(put.wait().is_some_and(|status| status.success()), "the tables are accepted");
+    }
+
+    fn start_routers(&mut self, binary: &Path, plan: &FleetPlan) {
+        let authority = FleetAuthority::generate().expect("keys can be made");
+        std::fs::write(self.dir.join("fleet.crt"), authority.certificate())
+            .expect("the fleet's folder is writable");
+        let peers: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
+        let rows = peers.iter().enumerate().map(|(number, peer)| {
+            let (name, admin) = (format!("r{number}"), self.admins[number]);
+            json!({ "name": name, "kind": "router", "address": peer, "admin": admin })
+        });
+        let rows = json!(rows.collect::<Vec<_>>());
+        let client = client(self.platform_address);
+        let mut request = client.request(Method::Put, "/v1/instances").expect("a valid path");
+        request.set_body(rows.to_string());
+        drop(block_on(client.call(request)));
+        for (number, peer) in peers.iter().enumerate() {
+            let keys = authority.issue(&format!("r{number}")).expect("keys can be made");
+            for (name, text) in [("crt", &keys.certificate), ("key", &keys.key)] {
+                let path = self.dir.join(format!("r{number}.{name}"));
+                std::fs::write(path, text).expect("the fleet's folder is writable");
+            }
+            let settings = self.dir.join(format!("r{number}.ini"));
+            std::fs::write(&settings, self.settings(number, *peer, plan))
+                .expect("the fleet's folder is writable");
+            let arguments =
+                vec!["router".into(), "--settings".into(), settings.display().to_string()];
+            let output = self.dir.join(format!("r{number}.out"));
+            self.routers.push(FleetProcess::start(binary, arguments, output));
+        }
+        (0..plan.routers).for_each(|router| self.wait_ready(router));
+        // Peers find each other with the first heartbeats.
+        self.wait_for_peers(plan.routers - 1);
+    }
+
+    fn wait_for_peers(&self, peers: usize) {
+        let start = Instant::now();
+        let expected = format!("\"peers\":{peers}");
+        for admin in &self.admins {
+            while !block_on(get(*admin, "/status")).is_some_and(|page| page.contains(&expected)) {
+                assert!(start.elapsed() < READY_TIMEOUT, "{admin} does not find its peers");
+                block_on(Timer::after(Duration::from_millis(20)));
+            }
+        }
+    }
+
+    fn settings(&self, number: usize, peer: SocketAddr, plan: &FleetPlan) -> String {
+        let (domain, region) = DOMAINS[number % DOMAINS.len()];
+        let (front, admin) = (self.fronts[number], self.admins[number]);
+        let platform = self.platform_address;
+        let (threads, notice) = (plan.threads, plan.drain_notice_ms);
+        let hash = HEXLOWER.encode(&AccountGrant::hash_key(ACCOUNT_KEY));
+        format!(
+            "[router]\nname = r{number}\ndomain = {domain}\nregion = {region}\n\
+             threads = {threads}\nfront = {front}\nadmin = {admin}\n\
+             [peer]\naddress = {peer}\nauthority = fleet.crt\ncertificate = r{number}.crt\n\
+             key = r{number}.key\n[fleet]\nseal_secret = {SEAL_SECRET}\n\
+             [platform]\ntables = {platform}\nobjects = {platform}\ninstances = {platform}\n\
+             [timing]\ndrain_notice_ms = {notice}\narchive_s = 60\n\
+             [log]\nfile = r{number}.log\n[account {ACCOUNT}]\nkey_hash = {hash}\n"
+        )
+    }
+}
+
+impl Drop for FleetHarness {
+    fn drop(&mut self) {
+        let all = self.routers.iter_mut().chain(&mut self.engines);
+        all.chain([&mut self.service, &mut self.platform]).for_each(FleetProcess::kill);
+        drop(std::fs::remove_dir_all(&self.dir));
+    }
+}
+
+fn engine_arguments(
+    dir: &Path,
+    number: usize,
+    address: SocketAddr,
+    plan: &FleetPlan,
+) -> Vec<String> {
+    let (address, step, name) = (address.to_string(), plan.step_ms, format!("e{number}"));
+    let log = dir.join(format!("{name}.log")).display().to_string();
+    let step = step.to_string();
+    let words =
+        ["engine", "--address", &address, "--name", &name, "--step-ms", &step, "--log", &log];
+    words.map(str::to_owned).to_vec()
+}
+
+fn client(address: SocketAddr) -> CallClient {
+    CallClient::new(address, Duration::from_secs(2), ClockHandle::system())
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let client = client(address);
+    let reply = client.call(client.request(Method::Get, path).ok()?).await.ok()?;
+    (reply.status == StatusCode::Ok).then(|| String::from_utf8_lossy(&reply.body).into_owned())
+}
--- /dev/null
+++ b/kwg-bench/src/fleet/fleet_process.rs
@@ -0,0 +1,98 @@
+use std::fs::OpenOptions;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A process of a fleet, which ends with it.
+#[derive(Debug)]
+pub struct FleetProcess {
+    program: PathBuf,
+    arguments: Vec<String>,
+    output: PathBuf,
+    child: Option<Child>,
+}
+
+impl FleetProcess {
+    /// Starts a process; what it prints goes to a file.
+    #[must_use]
+    pub fn start(program: &Path, arguments: Vec<String>, output: PathBuf) -> Self {
+        let program = program.to_owned();
+        let mut process = Self { program, arguments, output, child: None };
+        process.restart();
+        process
+    }
+
+    /// Starts the process again after its end.
+    pub fn restart(&mut self) {
+        let output = OpenOptions::new().create(true).append(true).open(&self.output);
+        let output = output.expect("the fleet's folder is writable");
+        let errors = output.try_clone().expect("a file handle can be duplicated");
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn();
+        self.child = Some(child.expect("the binary has been built"));
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+
+    /// Sends a signal by its name, as `kill` takes it.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let pid = child.id().to_string();
+            drop(Command::new("kill").args([&format!("-{name}"), &pid]).status());
+        }
+    }
+
+    /// Processor time that the process has used, in seconds.
+    #[must_use]
+    pub fn cpu_seconds(&self) -> f64 {
+        /// Clock ticks in a second, as Linux counts processor time.
+        const TICKS_PER_SECOND: f64 = 100.0;
+        let text = self.proc_file("stat");
+        // The name in brackets may hold spaces; the counters come after it.
+        let fields = text.rsplit(')').next().unwrap_or_default().split_whitespace();
+        let ticks: f64 =
+            fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum();
+        ticks / TICKS_PER_SECOND
+    }
+
+    /// Memory that the process holds, in megabytes.
+    #[must_use]
+    pub fn resident_mb(&self) -> u64 {
+        const KB_PER_MB: u64 = 1_024;
+        let text = self.proc_file("status");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / KB_PER_MB
+    }
+
+    fn proc_file(&self, name: &str) -> String {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default()
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self) -> Option<ExitStatus> {
+        self.child.take().and_then(|mut child| child.wait().ok())
+    }
+}
+
+impl Drop for FleetProcess {
+    fn drop(&mut self) {
+        self.signal("CONT");
+        self.kill();
+    }
+}
--- /dev/null
+++ b/kwg-bench/src/lib.rs
@@ -0,0 +1,9 @@
+//! Proofs over real processes and benchmarks in virtual time. Nothing here is shipped.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod fleet;
+mod prove;
+
+pub use fleet::{FleetHarness, FleetPlan, FleetProcess, TicketLog};
+pub use prove::{KillProof, KillTally, OverheadProof, ShutdownProof, ShutdownTally};
--- /dev/null
+++ b/kwg-bench/src/main.rs
@@ -0,0 +1,82 @@
+//! Runs a proof or a benchmark and prints what it found.
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use kwg_bench::{KillProof, KillTally, OverheadProof, ShutdownProof};
+use pico_args::{Arguments, Error};
+
+const HELP: &str = "\
+Proofs over real processes and benchmarks in virtual time.
+
+USAGE: kwg-bench kills    [--seed 1..20]
+       kwg-bench shutdown [--restarts N]
+       kwg-bench overhead [--seconds N] [--rate N]
+";
+
+fn main() -> ExitCode {
+    match run(Arguments::from_env()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("kwg-bench: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// The folder of the binaries: the one that this binary lies in.
+fn bin() -> PathBuf {
+    let own = std::env::current_exe().expect("a process knows its binary");
+    own.parent().expect("a binary lies in a folder").to_owned()
+}
+
+fn run(mut arguments: Arguments) -> Result<bool, Error> {
+    match arguments.subcommand()?.as_deref() {
+        Some("kills") => {
+            let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
+            Ok(kills(&parse_seeds(&seeds.unwrap_or("1..20".to_owned()))))
+        }
+        Some("shutdown") => {
+            let restarts = arguments.opt_value_from_str("--restarts")?.unwrap_or(10);
+            let tally = ShutdownProof::run(&bin(), restarts);
+            println!("{tally}");
+            Ok(tally.cut_off == 0 && tally.bad_exits == 0 && tally.dispatched_twice == 0)
+        }
+        Some("overhead") => {
+            let seconds = arguments.opt_value_from_str("--seconds")?.unwrap_or(10);
+            let rate = arguments.opt_value_from_str("--rate")?.unwrap_or(25);
+            let lines = OverheadProof::run(&bin(), seconds, rate);
+            lines.iter().for_each(|line| println!("{line}"));
+            Ok(true)
+        }
+        _ => {
+            print!("{HELP}");
+            Ok(false)
+        }
+    }
+}
+
+/// `7` is one seed, `1..20` are twenty.
+fn parse_seeds(text: &str) -> Vec<u64> {
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let (first, last) = (first.parse().unwrap_or(1), last.parse().unwrap_or(1));
+    (first..=last).collect()
+}
+
+fn kills(seeds: &[u64]) -> bool {
+    let mut total = KillTally::default();
+    for seed in seeds {
+        let tally = KillProof::run(&bin(), *seed);
+        println!("seed={seed} {tally}");
+        total.add(&tally);
+    }
+    println!("total: {total}");
+    let share = 100.0 * total.unknown as f64 / total.cut.max(1) as f64;
+    println!(
+        "of {} requests that were cut and would be lost without resume, {} ended unknown ({share:.1}%)",
+        total.cut, total.unknown
+    );
+    total.holds()
+}
--- /dev/null
+++ b/kwg-bench/src/prove/kill_tally.rs
@@ -0,0 +1,89 @@
+use std::fmt;
+
+use kwg_standin::{CallReport, CallResult};
+
+use crate::TicketLog;
+
+/// How the requests of a run ended, checked against the targets' own logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KillTally {
+    /// Requests made.
+    pub requests: usize,
+    /// Answered whole and right.
+    pub answered: usize,
+    /// Not run, by a router's word.
+    pub not_run: usize,
+    /// Outcome unknown, by a router's word or because nobody answered.
+    pub unknown: usize,
+    /// Not accepted.
+    pub rejected: usize,
+    /// Wrong or partial answers taken for whole ones.
+    pub wrong: usize,
+    /// Requests whose connection broke at least once.
+    pub cut: usize,
+    /// Tickets that reached targets more than once.
+    pub dispatched_twice: usize,
+    /// Requests said not to be run that a target has seen.
+    pub false_not_run: usize,
+    /// Routers killed.
+    pub kills: usize,
+}
+
+impl KillTally {
+    /// Counts the reports of a run; `key_of` gives the key under which targets see a ticket.
+    #[must_use]
+    pub fn count(reports: &[CallReport], log: &TicketLog, key_of: impl Fn(&str) -> String) -> Self {
+        let mut tally = Self { dispatched_twice: log.dispatched_twice(), ..Self::default() };
+        for report in reports {
+            tally.requests += 1;
+            tally.cut += usize::from(report.resends > 0);
+            match &report.result {
+                CallResult::Answered => tally.answered += 1,
+                CallResult::Wrong => tally.wrong += 1,
+                CallResult::Unknown(_) => tally.unknown += 1,
+                CallResult::Rejected(_) => tally.rejected += 1,
+                CallResult::NotRun(_) => {
+                    tally.not_run += 1;
+                    let key = report.ticket.as_deref().map(&key_of);
+                    let seen = key.is_some_and(|key| log.count(&key) > 0);
+                    tally.false_not_run += usize::from(seen);
+                }
+            }
+        }
+        tally
+    }
+
+    /// Adds another run.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.rejected += other.rejected;
+        self.wrong += other.wrong;
+        self.cut += other.cut;
+        self.dispatched_twice += other.dispatched_twice;
+        self.false_not_run += other.false_not_run;
+        self.kills += other.kills;
+    }
+
+    /// Whether nothing happened that must not.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        self.dispatched_twice == 0 && self.wrong == 0 && self.false_not_run == 0
+    }
+}
+
+impl fmt::Display for KillTally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { requests, answered, not_run, unknown, rejected, wrong, cut, .. } = self;
+        let Self { dispatched_twice, false_not_run, kills, .. } = self;
+        write!(
+            f,
+            "requests={requests} answered={answered} not_run={not_run} unknown={unknown} \
+             rejected={rejected} cut_and_resent={cut} routers_killed={kills} \
+             dispatched_twice={dispatched_twice} wrong_or_partial={wrong} \
+             false_not_run={false_not_run}"
+        )
+    }
+}
--- /dev/null
+++ b/kwg-bench/src/prove/steady_caller.rs
@@ -0,0 +1,98 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::AsyncReadExt;
+use http_types::{Method, StatusCode};
+use kwg_clock::ClockHandle;
+use kwg_front::FrontHeaders;
+use kwg_http::{CallClient, SocketStream, WholeBody};
+use kwg_standin::ReferenceAnswer;
+use kwg_wire::{SseKind, SseParser};
+
+/// A caller that keeps its connection from request to request and never sends one again: what
+/// is cut off shows.
+#[derive(Debug)]
+pub(super) struct SteadyCaller {
+    key: String,
+    connection: Option<(SocketAddr, SocketStream)>,
+}
+
+/// How a request of a steady caller ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SteadyEnd {
+    /// Answered whole.
+    Answered,
+    /// Refused in full: a status and a reason came.
+    Refused,
+    /// No connection could be made: nothing was sent.
+    NotSent,
+    /// The connection broke with the request under way.
+    CutOff,
+}
+
+impl SteadyCaller {
+    pub(super) fn new(key: &str) -> Self {
+        Self { key: key.to_owned(), connection: None }
+    }
+
+    /// Makes a request, on the connection that is there or on a new one to `router`.
+    pub(super) async fn call(&mut self, router: SocketAddr, body: &str, tokens: u32) -> SteadyEnd {
+        let (address, stream) = match self.connection.take() {
+            Some(connection) => connection,
+            None => match Self::client(router).connect().await {
+                Ok(stream) => (router, stream),
+                Err(_) => return SteadyEnd::NotSent,
+            },
+        };
+        let client = Self::client(address);
+        let mut request =
+            client.request(Method::Post, "/v1/requests/patches").expect("a valid path");
+        request.insert_header("authorization", format!("Bearer {}", self.key));
+        request.insert_header(FrontHeaders::MAX_TOKENS, tokens.to_string());
+        request.set_body(body);
+        let Ok(mut response) = client.open(stream.clone(), request).await else {
+            return SteadyEnd::CutOff;
+        };
+        let closes = response.header("connection").is_some_and(|value| value.as_str() == "close");
+        let is_answer = response.status() == StatusCode::Ok;
+        let end = if is_answer {
+            read_answer(response, body, tokens).await
+        } else {
+            match WholeBody::read(response.take_body(), 1 << 20).await {
+                Ok(_) => SteadyEnd::Refused,
+                Err(_) => SteadyEnd::CutOff,
+            }
+        };
+        if !closes && end != SteadyEnd::CutOff {
+            self.connection = Some((address, stream));
+        }
+        end
+    }
+
+    fn client(address: SocketAddr) -> CallClient {
+        CallClient::new(address, Duration::from_secs(2), ClockHandle::system())
+    }
+}
+
+async fn read_answer(mut response: http_types::Response, body: &str, tokens: u32) -> SteadyEnd {
+    let mut reader = response.take_body().into_reader();
+    let (mut parser, mut text) = (SseParser::default(), Vec::new());
+    let mut buffer = vec![0; 8 << 10];
+    let mut ended = false;
+    loop {
+        match reader.read(&mut buffer).await {
+            Ok(0) if ended => break,
+            Ok(0) | Err(_) => return SteadyEnd::CutOff,
+            Ok(count) => parser.push(&buffer[..count]),
+        }
+        while let Ok(Some(event)) = parser.next_event() {
+            match event.kind {
+                SseKind::Part(chunk) => text.extend_from_slice(&chunk),
+                SseKind::End => ended = true,
+                SseKind::Failed(_) => return SteadyEnd::Refused,
+            }
+        }
+    }
+    let is_whole = text == ReferenceAnswer::text(body.as_bytes(), tokens).as_bytes();
+    if is_whole { SteadyEnd::Answered } else { SteadyEnd::CutOff }
+}
--- a/kwg-flow/src/desk/ledger_shelf.rs
+++ b/kwg-decide/src/ledger/ledger_shelf.rs
@@ -1,16 +1,33 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use kwg_decide::{HandedOver, Inherited, LedgerOptions, MintError, Serving, TicketLedger};
 use kwg_model::{
     AccountName, BurnVerdict, ClaimStub, ClaimVerdict, DispatchTicket, HomeAddress, LedgerExport,
     MonoTime, TicketKey,
 };
 
-use crate::filter::FlowContext;
+use super::{HandedOver, Inherited, LedgerOptions, MintError, Serving, TicketLedger};
 
 /// The ledgers of one core: its own, and those that it inherited.
-#[derive(Debug)]
-pub(crate) struct LedgerShelf {
+///
+/// ```
+/// use kwg_decide::{LedgerOptions, LedgerRoute, LedgerShelf};
+/// use kwg_model::{HomeAddress, InstanceName, MonoTime};
+///
+/// let address = |name: &str| HomeAddress {
+///     instance: InstanceName::new(name).expect("valid"),
+///     incarnation: 1,
+///     shard: 0,
+/// };
+/// let mut old = LedgerShelf::new(address("r1"), LedgerOptions::default());
+/// let mut heir = LedgerShelf::new(address("r2"), LedgerOptions::default());
+/// for export in old.hand_over(MonoTime::ZERO, &address("r2")) {
+///     assert!(heir.inherit(MonoTime::ZERO, export.clone()));
+///     assert!(!heir.inherit(MonoTime::ZERO, export), "a ledger is taken over once");
+/// }
+/// assert_eq!(heir.route(&address("r1"), None, false), LedgerRoute::Here);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct LedgerShelf {
     address: HomeAddress,
     options: LedgerOptions,
     own: LedgerSlot,
@@ -20,7 +37,7 @@
     seen: BTreeSet<HomeAddress>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum LedgerSlot {
     Serving(TicketLedger<Serving>),
     HandedOver(TicketLedger<HandedOver>),
@@ -28,7 +45,7 @@
 
 /// Where the ledger of a home is.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum LedgerRoute {
+pub enum LedgerRoute {
     /// In this core.
     Here,
     /// At this core, as far as is known.
@@ -38,13 +55,24 @@
 }
 
 impl LedgerShelf {
-    pub(crate) fn new(address: HomeAddress, options: LedgerOptions) -> Self {
+    /// The shelf of a core that has just started.
+    #[must_use]
+    pub fn new(address: HomeAddress, options: LedgerOptions) -> Self {
         let own = LedgerSlot::Serving(TicketLedger::open(address.clone(), options));
         Self { address, options, own, inherited: BTreeMap::new(), seen: BTreeSet::new() }
     }
 
     /// Where to ask about tickets of `home`.
-    pub(crate) fn route(&self, home: &HomeAddress, context: &FlowContext<'_>) -> LedgerRoute {
+    ///
+    /// `successor` is the core that is known to have taken that ledger over, and `is_replaced`
+    /// says that another run of the home's instance has been heard from.
+    #[must_use]
+    pub fn route(
+        &self,
+        home: &HomeAddress,
+        successor: Option<&HomeAddress>,
+        is_replaced: bool,
+    ) -> LedgerRoute {
         if *home == self.address {
             return match &self.own {
                 LedgerSlot::Serving(_) => LedgerRoute::Here,
@@ -54,15 +82,18 @@
         if self.inherited.contains_key(home) {
             return LedgerRoute::Here;
         }
-        match context.fleet.moved.get(home) {
+        match successor {
             Some(successor) => LedgerRoute::At(successor.clone()),
-            None if context.is_replaced(home) => LedgerRoute::Gone,
+            None if is_replaced => LedgerRoute::Gone,
             None => LedgerRoute::At(home.clone()),
         }
     }
 
     /// Mints tickets; `None` once the ledger is handed over.
-    pub(crate) fn mint(
+    ///
+    /// # Errors
+    /// [`MintError`] if the ledger or the account would hold too many.
+    pub fn mint(
         &mut self,
         now: MonoTime,
         account: &AccountName,
@@ -74,7 +105,8 @@
         }
     }
 
-    pub(crate) fn claim(
+    /// Decides an attempt to claim a ticket of any ledger kept here.
+    pub fn claim(
         &mut self,
         now: MonoTime,
         ticket: &DispatchTicket,
@@ -92,7 +124,8 @@
         }
     }
 
-    pub(crate) fn burn(
+    /// Decides an attempt to burn a ticket of any ledger kept here.
+    pub fn burn(
         &mut self,
         now: MonoTime,
         ticket: &DispatchTicket,
@@ -111,7 +144,8 @@
     }
 
     /// The core that holds a ticket of a ledger kept here.
-    pub(crate) fn holder(&self, key: &TicketKey) -> Option<&HomeAddress> {
+    #[must_use]
+    pub fn holder(&self, key: &TicketKey) -> Option<&HomeAddress> {
         match (&self.own, self.inherited.get(&key.home)) {
             (_, Some(ledger)) => ledger.holder(key),
             (LedgerSlot::Serving(ledger), None) => ledger.holder(key),
@@ -120,7 +154,7 @@
     }
 
     /// Takes a ledger over; `false` if it came before or this core has given its own away.
-    pub(crate) fn inherit(&mut self, now: MonoTime, export: LedgerExport) -> bool {
+    pub fn inherit(&mut self, now: MonoTime, export: LedgerExport) -> bool {
         let home = export.home.clone();
         let serving = matches!(self.own, LedgerSlot::Serving(_));
         if !serving || !self.seen.insert(home.clone()) {
@@ -132,12 +166,13 @@
     }
 
     /// Whether the ledger of `home` is kept here as inherited.
-    pub(crate) fn has_inherited(&self, home: &HomeAddress) -> bool {
+    #[must_use]
+    pub fn has_inherited(&self, home: &HomeAddress) -> bool {
         self.inherited.contains_key(home)
     }
 
     /// Gives every ledger away to one successor.
-    pub(crate) fn hand_over(&mut self, now: MonoTime, to: &HomeAddress) -> Vec<LedgerExport> {
+    pub fn hand_over(&mut self, now: MonoTime, to: &HomeAddress) -> Vec<LedgerExport> {
         let mut exports = Vec::new();
         for (_, ledger) in std::mem::take(&mut self.inherited) {
             exports.push(ledger.hand_over(now, to.clone()).1);
@@ -156,7 +191,7 @@
     }
 
     /// Drops what is past retention.
-    pub(crate) fn forget_old(&mut self, now: MonoTime) {
+    pub fn forget_old(&mut self, now: MonoTime) {
         if let LedgerSlot::Serving(ledger) = &mut self.own {
             ledger.forget_old(now);
         }
@@ -165,7 +200,8 @@
     }
 
     /// How many tickets are remembered as claimed or burned.
-    pub(crate) fn entry_count(&self) -> usize {
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
         let own = match &self.own {
             LedgerSlot::Serving(ledger) => ledger.entry_count(),
             LedgerSlot::HandedOver(ledger) => ledger.entry_count(),
--- a/kwg-decide/src/lib.rs
+++ b/kwg-decide/src/lib.rs
@@ -10,8 +10,8 @@
 mod queue;
 
 pub use ledger::{
-    ClaimFailure, ClaimRight, Granting, HandedOver, Inherited, LedgerOptions, MintError,
-    PendingClaim, Serving, TicketLedger,
+    ClaimFailure, ClaimRight, Granting, HandedOver, Inherited, LedgerOptions, LedgerRoute,
+    LedgerShelf, MintError, PendingClaim, Serving, TicketLedger,
 };
 pub use limit::{LoadGauge, LoadPermit};
 pub use membership::{InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState, RosterOptions};
--- a/kwg-flow/src/desk.rs
+++ b/kwg-flow/src/desk.rs
@@ -2,14 +2,12 @@
 
 mod drain_desk;
 mod home_desk;
-mod ledger_shelf;
 mod mint_desk;
 mod search_desk;
 mod timer_queue;
 
 pub(crate) use drain_desk::{DrainDesk, DrainStep};
 pub(crate) use home_desk::{HomeDesk, HomeWait};
-pub(crate) use ledger_shelf::{LedgerRoute, LedgerShelf};
 pub(crate) use mint_desk::MintDesk;
 pub(crate) use search_desk::{SearchDesk, SearchStep, TargetSearch};
 pub(crate) use timer_queue::{TimerKey, TimerQueue};
--- a/kwg-flow/src/filter/claim_filter.rs
+++ b/kwg-flow/src/filter/claim_filter.rs
@@ -1,11 +1,11 @@
-use kwg_decide::{ClaimFailure, LedgerOptions, MintError, TargetChoice};
+use kwg_decide::{ClaimFailure, LedgerOptions, LedgerRoute, LedgerShelf, MintError, TargetChoice};
 use kwg_model::{
     AccountName, BurnVerdict, ClaimStub, ClaimVerdict, DispatchTicket, HomeAddress, LedgerExport,
     MonoTime, NotRunReason, ServiceTier, TicketKey,
 };
 
 use super::{FlowContext, FlowPipe};
-use crate::desk::{HomeDesk, HomeWait, LedgerRoute, LedgerShelf, TimerKey};
+use crate::desk::{HomeDesk, HomeWait, TimerKey};
 use crate::{Admitted, Claimed, EventKind, Placed, RequestFlow, TrafficMessage};
 
 /// Obtains the right to dispatch, or the certainty that nobody has it.
@@ -101,7 +101,7 @@
         flow: RequestFlow<Placed>,
         pipe: &mut FlowPipe<'_>,
     ) -> ClaimStep {
-        match self.ledgers.route(&flow.key().home, context) {
+        match self.route(context, &flow.key().home) {
             LedgerRoute::Here => {
                 let verdict = self.ledgers.claim(context.now, flow.ticket(), flow.stub());
                 settle(flow, verdict)
@@ -170,7 +170,7 @@
             claimer: self.address.clone(),
             attempt: self.next_attempt(),
         });
-        match self.ledgers.route(&request.ticket.key.home, context) {
+        match self.route(context, &request.ticket.key.home) {
             LedgerRoute::Here => {
                 let verdict = self.ledgers.burn(context.now, &request.ticket, &stub);
                 if verdict == BurnVerdict::Burned {
@@ -309,6 +309,11 @@
         self.ledgers.entry_count()
     }
 
+    fn route(&self, context: &FlowContext<'_>, home: &HomeAddress) -> LedgerRoute {
+        let successor = context.fleet.moved.get(home);
+        self.ledgers.route(home, successor, context.is_replaced(home))
+    }
+
     fn stub(&self, attempt: u64) -> ClaimStub {
         ClaimStub { claimer: self.address.clone(), attempt }
     }
--- a/kwg-model/src/ledger_export.rs
+++ b/kwg-model/src/ledger_export.rs
@@ -14,7 +14,7 @@
 }
 
 /// A ledger on its way to the core that carries on with it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LedgerExport {
     /// The home whose tickets these are.
     pub home: HomeAddress,
