fix(kwg-flow, kwg-peer): requests of live homes no longer end unknown

Cause: after a router was restarted, its first tickets were taken for those of an ended run, because any difference between a ticket's incarnation and the last one heard counted as 'replaced', also when the ticket's was the later. Second cause: the others' links to the killed run were noticed as dead only by their 4 s idle timeout, longer than a claim was tried. Third: a claim was given up after 1.5 s though its caller waited 8 s, shorter than a paused home. Ruled out: lost answers of the platform (no claim asks it), full pipes (core-busy and link-busy stayed 0). Change: only a run that another one is known to have followed is ended; a hello names the run, and a new run closes links to the old one; a claim is tried until the request's deadline, at most 5 s.

--- a/kwg-bench/src/fleet/fleet_harness.rs
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -40,6 +40,7 @@
     admins: Vec<SocketAddr>,
     platform_address: SocketAddr,
     engine_addresses: Vec<SocketAddr>,
+    service_address: SocketAddr,
     dir: PathBuf,
 }
 
@@ -79,6 +80,7 @@
             admins,
             platform_address,
             engine_addresses,
+            service_address,
             dir,
         };
         harness.wait_for(platform_address, "/stats");
@@ -99,10 +101,10 @@
         &self.admins
     }
 
-    /// Where the engines listen.
+    /// Where the plain service listens.
     #[must_use]
-    pub fn engine_addresses(&self) -> &[SocketAddr] {
-        &self.engine_addresses
+    pub fn service_address(&self) -> SocketAddr {
+        self.service_address
     }
 
     /// A caller that knows all routers.
@@ -154,10 +156,17 @@
         ticket.expect("routers hand out their own tickets").key.to_string()
     }
 
-    /// The log files of all routers.
+    /// The router runs that have not been killed, as the keys of their tickets begin.
     #[must_use]
-    pub fn router_logs(&self) -> Vec<PathBuf> {
-        (0..self.routers.len()).map(|number| self.dir.join(format!("r{number}.log"))).collect()
+    pub fn router_runs(&self) -> Vec<String> {
+        let logs = (0..self.routers.len()).map(|number| self.dir.join(format!("r{number}.log")));
+        let last_run = |(number, log): (usize, PathBuf)| {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            let line = text.lines().rfind(|line| line.contains("event=started"))?;
+            let run = line.split_once("run=")?.1.split(' ').next()?;
+            Some(format!("r{number}.{run}."))
+        };
+        logs.enumerate().filter_map(last_run).collect()
     }
 
     fn wait_for(&self, address: SocketAddr, path: &str) {
--- a/kwg-bench/src/prove/kill_proof.rs
+++ b/kwg-bench/src/prove/kill_proof.rs
@@ -68,7 +68,9 @@
         }));
         let reports = reports.borrow();
         let log = harness.ticket_log();
-        let tally = KillTally::count(&reports, &log, |ticket| harness.key_of(ticket));
+        let runs = harness.router_runs();
+        let is_home_dead = |key: &str| !runs.iter().any(|run| key.starts_with(run));
+        let tally = KillTally::count(&reports, &log, |ticket| harness.key_of(ticket), is_home_dead);
         if std::env::var_os("KWG_SHOW_UNKNOWN").is_some() {
             show(&harness, &reports);
         }
--- a/kwg-bench/src/prove/kill_tally.rs
+++ b/kwg-bench/src/prove/kill_tally.rs
@@ -15,6 +15,10 @@
     pub not_run: usize,
     /// Outcome unknown, by a router's word or because nobody answered.
     pub unknown: usize,
+    /// Of these, requests whose ticket's home had been killed.
+    pub home_died: usize,
+    /// Of these, requests whose target had been killed.
+    pub target_died: usize,
     /// Not accepted.
     pub rejected: usize,
     /// Wrong or partial answers taken for whole ones.
@@ -30,9 +34,15 @@
 }
 
 impl KillTally {
-    /// Counts the reports of a run; `key_of` gives the key under which targets see a ticket.
+    /// Counts the reports of a run; `key_of` gives the key under which targets see a ticket,
+    /// `is_home_dead` whether the router run that minted it has been killed.
     #[must_use]
-    pub fn count(reports: &[CallReport], log: &TicketLog, key_of: impl Fn(&str) -> String) -> Self {
+    pub fn count(
+        reports: &[CallReport],
+        log: &TicketLog,
+        key_of: impl Fn(&str) -> String,
+        is_home_dead: impl Fn(&str) -> bool,
+    ) -> Self {
         let mut tally = Self { dispatched_twice: log.dispatched_twice(), ..Self::default() };
         for report in reports {
             tally.requests += 1;
@@ -40,7 +50,15 @@
             match &report.result {
                 CallResult::Answered => tally.answered += 1,
                 CallResult::Wrong => tally.wrong += 1,
-                CallResult::Unknown(_) => tally.unknown += 1,
+                CallResult::Unknown(reason) => {
+                    tally.unknown += 1;
+                    let key = report.ticket.as_deref().map(&key_of);
+                    if reason.contains("target-failed") {
+                        tally.target_died += 1;
+                    } else if key.is_some_and(|key| is_home_dead(&key)) {
+                        tally.home_died += 1;
+                    }
+                }
                 CallResult::Rejected(_) => tally.rejected += 1,
                 CallResult::NotRun(_) => {
                     tally.not_run += 1;
@@ -59,6 +77,8 @@
         self.answered += other.answered;
         self.not_run += other.not_run;
         self.unknown += other.unknown;
+        self.home_died += other.home_died;
+        self.target_died += other.target_died;
         self.rejected += other.rejected;
         self.wrong += other.wrong;
         self.cut += other.cut;
@@ -77,10 +97,12 @@
 impl fmt::Display for KillTally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { requests, answered, not_run, unknown, rejected, wrong, cut, .. } = self;
-        let Self { dispatched_twice, false_not_run, kills, .. } = self;
+        let Self { dispatched_twice, false_not_run, kills, home_died, target_died, .. } = self;
+        let other = unknown - home_died - target_died;
         write!(
             f,
-            "requests={requests} answered={answered} not_run={not_run} unknown={unknown} \
+            "requests={requests} answered={answered} not_run={not_run} unknown={unknown} (home_died={home_died} \
+             target_died={target_died} other={other}) \
              rejected={rejected} cut_and_resent={cut} routers_killed={kills} \
              dispatched_twice={dispatched_twice} wrong_or_partial={wrong} \
              false_not_run={false_not_run}"
--- a/kwg-bench/src/prove/overhead_proof.rs
+++ b/kwg-bench/src/prove/overhead_proof.rs
@@ -15,7 +15,7 @@
 use crate::{FleetHarness, FleetPlan};
 
 /// Requests that each side gets for the latencies.
-const SAMPLES: u32 = 300;
+const SAMPLES: u32 = 1_000;
 /// Tokens of an answer under steady load: with 25 requests a second, 7,100 tokens a second.
 const LOAD_TOKENS: u32 = 284;
 
@@ -33,19 +33,20 @@
             engines: 1,
             step_ms: 2,
             limit_tokens: 1 << 30,
+            service_ms: 0,
             ..FleetPlan::default()
         };
         let harness = FleetHarness::start(bin, &plan);
-        let (router, engine) = (harness.fronts()[0], harness.engine_addresses()[0]);
+        let (router, service) = (harness.fronts()[0], harness.service_address());
         let mut lines = Vec::new();
         let mut direct = Histogram::<u64>::new(3).expect("three digits are valid");
         let mut routed = Histogram::<u64>::new(3).expect("three digits are valid");
         // Calls alternate, so that both sides see the same machine.
-        for count in 0..SAMPLES {
-            let span = block_on(first_byte(engine, &direct_path(count), None));
+        let key = Some(harness.account_key());
+        for _ in 0..SAMPLES {
+            let span = block_on(first_byte(service, "/v1/call", None));
             direct.record(span).expect("spans are in range");
-            let span =
-                block_on(first_byte(router, "/v1/requests/patches", Some(harness.account_key())));
+            let span = block_on(first_byte(router, "/v1/requests/bookings", key));
             routed.record(span).expect("spans are in range");
         }
         for (name, histogram) in [("direct", &direct), ("routed", &routed)] {
@@ -61,10 +62,6 @@
     }
 }
 
-fn direct_path(count: u32) -> String {
-    format!("/v1/streams/direct-{count}")
-}
-
 /// Microseconds from sending a request to the first byte of its body.
 async fn first_byte(address: SocketAddr, path: &str, key: Option<&str>) -> u64 {
     let start = Instant::now();
@@ -80,14 +77,20 @@
 async fn open(address: SocketAddr, path: &str, key: Option<&str>, tokens: u32) -> Response {
     let client = CallClient::new(address, Duration::from_secs(5), ClockHandle::system());
     let mut request = client.request(Method::Post, path).expect("a valid path");
-    if let Some(key) = key {
-        request.insert_header("authorization", format!("Bearer {key}"));
-        request.insert_header(FrontHeaders::MAX_TOKENS, tokens.to_string());
+    match key {
+        Some(key) => {
+            request.insert_header("authorization", format!("Bearer {key}"));
+            request.insert_header(FrontHeaders::MAX_TOKENS, tokens.to_string());
+        }
+        None => {
+            request.insert_header(TargetHeaders::TICKET, "direct");
+        }
     }
-    request.insert_header(TargetHeaders::MAX_TOKENS, tokens.to_string());
     request.set_body("a prompt");
     let stream = client.connect().await.expect("the fleet listens");
-    client.open(stream, request).await.expect("the fleet answers")
+    let response = client.open(stream, request).await.expect("the fleet answers");
+    assert!(response.status().is_success(), "{path}: {}", response.status());
+    response
 }
 
 /// Holds a rate of requests for a while and reads the router's processor time.
@@ -97,7 +100,7 @@
     let (cpu_before, start) = (harness.routers[0].cpu_seconds(), Instant::now());
     let total = u64::from(rate) * seconds;
     let bytes: u64 = block_on(executor.run(async {
-        let mut tasks = Vec::new();
+        let (mut tasks, mut next) = (Vec::new(), Instant::now());
         for _ in 0..total {
             tasks.push(executor.spawn(async move {
                 let mut response =
@@ -106,7 +109,8 @@
                 drop(response.take_body().into_reader().read_to_end(&mut text).await);
                 text.windows(2).filter(|pair| pair == b"id").count() as u64
             }));
-            Timer::after(Duration::from_secs(1) / rate).await;
+            next += Duration::from_secs(1) / rate;
+            Timer::at(next).await;
         }
         let mut events = 0;
         for task in tasks {
--- a/kwg-decide/src/membership/peer_roster.rs
+++ b/kwg-decide/src/membership/peer_roster.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use kwg_model::{InstanceName, MonoTime};
@@ -51,8 +51,13 @@
     /// When each silent router fell silent.
     silent_since: BTreeMap<InstanceName, MonoTime>,
     changed: BTreeSet<InstanceName>,
+    /// Runs that were followed by another one, oldest first.
+    ended: VecDeque<(InstanceName, u64)>,
 }
 
+/// Most ended runs that are remembered.
+const ENDED_MAX: usize = 256;
+
 impl PeerRoster {
     /// A roster that knows its own router only.
     #[must_use]
@@ -65,6 +70,7 @@
             heard: BTreeMap::new(),
             silent_since: BTreeMap::new(),
             changed,
+            ended: VecDeque::new(),
         }
     }
 
@@ -135,6 +141,11 @@
         self.records.values().chain([&self.own])
     }
 
+    /// Runs of routers that were followed by another run.
+    pub fn ended(&self) -> impl Iterator<Item = &(InstanceName, u64)> {
+        self.ended.iter()
+    }
+
     /// Takes the records that changed since the last call, to be passed on.
     pub fn take_changed(&mut self) -> Vec<PeerRecord> {
         let changed = std::mem::take(&mut self.changed);
@@ -158,6 +169,14 @@
 
     fn store(&mut self, now: MonoTime, record: PeerRecord) {
         let instance = record.instance.clone();
+        if let Some(old) = self.records.get(&instance)
+            && old.incarnation != record.incarnation
+        {
+            self.ended.push_back((instance.clone(), old.incarnation));
+            if self.ended.len() > ENDED_MAX {
+                self.ended.pop_front();
+            }
+        }
         if record.state == PeerState::Silent {
             self.silent_since.entry(instance.clone()).or_insert(now);
         } else {
--- a/kwg-flow/src/control/control_core.rs
+++ b/kwg-flow/src/control/control_core.rs
@@ -137,6 +137,7 @@
             peers: peers.collect(),
             leaving: self.instances.leaving_targets(),
             moved: self.moved.clone(),
+            ended: self.roster.ended().cloned().collect(),
             braked: BTreeSet::new(),
         }
     }
--- a/kwg-flow/src/filter/claim_filter.rs
+++ b/kwg-flow/src/filter/claim_filter.rs
@@ -112,7 +112,9 @@
                 pipe.event(flow.key(), kind);
                 pipe.send(&home, claim_message(&flow));
                 let attempt = flow.stub().attempt;
-                let deadline = context.now + context.options.home_timeout;
+                // A paused home may come back: as long as the caller waits, so does the claim,
+                // within a bound, since the request holds room at its target meanwhile.
+                let deadline = flow.deadline().min(context.now + context.options.claim_timeout);
                 pipe.timers.set(context.now + context.options.home_retry, TimerKey::Claim(attempt));
                 self.claims.insert(attempt, HomeWait { asked: home, deadline, item: flow });
                 ClaimStep::Waiting
--- a/kwg-flow/src/request/request_flow.rs
+++ b/kwg-flow/src/request/request_flow.rs
@@ -160,6 +160,12 @@
 }
 
 impl RequestFlow<Placed> {
+    /// When the request is of no more use.
+    #[must_use]
+    pub fn deadline(&self) -> MonoTime {
+        self.stage.admitted.deadline
+    }
+
     /// The stub of the attempt under way.
     #[must_use]
     pub fn stub(&self) -> &ClaimStub {
--- a/kwg-flow/src/traffic/traffic_options.rs
+++ b/kwg-flow/src/traffic/traffic_options.rs
@@ -11,7 +11,9 @@
     pub queue: QueueOptions,
     /// Settings of placement.
     pub placement: PlacementOptions,
-    /// How long a remote home has to answer a claim or a burning.
+    /// How long a remote home has to answer a claim, if the request's deadline is not earlier.
+    pub claim_timeout: Duration,
+    /// How long a remote home has to answer a burning or a call for tickets.
     pub home_timeout: Duration,
     /// How long after which an unanswered message to a home is sent again.
     pub home_retry: Duration,
@@ -39,7 +41,8 @@
             ledger: LedgerOptions::default(),
             queue: QueueOptions::default(),
             placement: PlacementOptions::default(),
-            home_timeout: Duration::from_millis(1_500),
+            claim_timeout: Duration::from_secs(5),
+            home_timeout: Duration::from_secs(3),
             home_retry: Duration::from_millis(200),
             attach_timeout: Duration::from_millis(600),
             resume_pause: Duration::from_millis(50),
--- a/kwg-model/src/fleet_snapshot.rs
+++ b/kwg-model/src/fleet_snapshot.rs
@@ -13,6 +13,8 @@
     pub leaving: BTreeSet<TargetName>,
     /// Ledgers that were handed over, and where they are now.
     pub moved: BTreeMap<HomeAddress, HomeAddress>,
+    /// Runs of routers that have ended: another run of the same instance came after them.
+    pub ended: BTreeSet<(InstanceName, u64)>,
     /// Versions that get no traffic because a brake is on.
     pub braked: BTreeSet<VersionName>,
 }
@@ -31,11 +33,11 @@
         peer.is_some_and(|peer| peer.incarnation == address.incarnation)
     }
 
-    /// Whether another run of the address's instance was heard from lately, so that this one
-    /// has ended.
+    /// Whether another run of the address's instance came after this one, so that it has ended.
+    ///
+    /// Another run alone does not tell: the address may be the later one.
     #[must_use]
     pub fn is_replaced(&self, address: &HomeAddress) -> bool {
-        let peer = self.peers.get(&address.instance);
-        peer.is_some_and(|peer| peer.incarnation != address.incarnation)
+        self.ended.contains(&(address.instance.clone(), address.incarnation))
     }
 }
--- a/kwg-peer/src/lib.rs
+++ b/kwg-peer/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod fleet_keys;
+mod inbound_link;
 mod link_error;
 mod link_runtime;
 mod link_sink;
--- a/kwg-peer/src/peer_lane.rs
+++ b/kwg-peer/src/peer_lane.rs
@@ -21,6 +21,7 @@
 /// The way to one router: connects when there is something to send, and again after a break.
 pub(crate) struct PeerLane<S> {
     pub(crate) own: InstanceName,
+    pub(crate) incarnation: u64,
     pub(crate) peer: InstanceName,
     pub(crate) address: SocketAddr,
     pub(crate) endpoint: Endpoint,
@@ -70,7 +71,7 @@
         };
         let mut link = connect.or(timeout).await;
         if let Some(open) = &mut link
-            && !self.write(&mut open.stream, PeerBody::Hello(self.own.clone())).await
+            && !self.write(&mut open.stream, self.hello()).await
         {
             link = None;
         }
@@ -80,6 +81,10 @@
         link
     }
 
+    fn hello(&self) -> PeerBody {
+        PeerBody::Hello { instance: self.own.clone(), incarnation: self.incarnation }
+    }
+
     async fn write(&self, stream: &mut SendStream, body: PeerBody) -> bool {
         let frame = PeerFrame { stamp: self.stamps.stamp(), body };
         let Ok(bytes) = FrameCodec::encode(&frame) else {
--- a/kwg-peer/src/peer_link.rs
+++ b/kwg-peer/src/peer_link.rs
@@ -7,29 +7,25 @@
 use kwg_clock::ClockHandle;
 use kwg_model::InstanceName;
 use kwg_telemetry::HybridClock;
-use kwg_wire::{FrameReader, PeerBody};
-use quinn::{Connection, Endpoint, EndpointConfig, Incoming, RecvStream};
-use rustls_pki_types::CertificateDer;
+use kwg_wire::PeerBody;
+use quinn::{Endpoint, EndpointConfig};
 use snafu::ResultExt;
 
+use crate::inbound_link::InboundLink;
 use crate::link_error::BindSnafu;
 use crate::peer_lane::PeerLane;
 use crate::{LinkError, LinkRuntime, LinkSink, TlsIdentity};
 
 /// Most frames that wait for one router.
 const LANE_FRAMES: usize = 4_096;
-/// Bytes read from a stream at a time.
-const READ_BYTES: usize = 64 << 10;
-/// Tells the other end that it sent what is no frame.
-const MALFORMED_CODE: u32 = 1;
-/// Tells the other end that it is not who it claims to be.
-const IMPOSTOR_CODE: u32 = 2;
 
 /// Where and as whom a link stands.
 #[derive(Debug)]
 pub struct LinkOptions {
     /// This router.
     pub own: InstanceName,
+    /// Its run.
+    pub incarnation: u64,
     /// Where it listens, over UDP.
     pub address: SocketAddr,
     /// Its keys.
@@ -52,6 +48,14 @@
     },
     /// These are the routers' addresses now.
     Addresses(HashMap<InstanceName, SocketAddr>),
+    /// A router has connected, in this run: a link to an earlier run of it is dead, though it
+    /// would take a timeout to notice.
+    Connected {
+        /// The router.
+        from: InstanceName,
+        /// Its run.
+        incarnation: u64,
+    },
 }
 
 /// Both directions of all links of a router.
@@ -60,7 +64,9 @@
     endpoint: Endpoint,
     executor: Arc<Executor<'static>>,
     sink: Arc<S>,
+    commands: Sender<LinkCommand>,
     addresses: HashMap<InstanceName, SocketAddr>,
+    runs: HashMap<InstanceName, u64>,
     lanes: HashMap<InstanceName, (SocketAddr, Sender<PeerBody>)>,
 }
 
@@ -71,13 +77,15 @@
 }
 
 impl<S: LinkSink> PeerLink<S> {
-    /// Begins to listen. Everything runs on `executor`, whoever drives that.
+    /// Begins to listen. Everything runs on `executor`, whoever drives that; `commands` is the
+    /// way to [`Self::run`].
     ///
     /// # Errors
     /// [`LinkError::Bind`] if the address cannot be listened on.
     pub fn bind(
         options: LinkOptions,
         executor: Arc<Executor<'static>>,
+        commands: Sender<LinkCommand>,
         sink: Arc<S>,
     ) -> Result<Self, LinkError> {
         let address = options.address;
@@ -87,8 +95,16 @@
         let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime);
         let mut endpoint = endpoint.context(BindSnafu { address })?;
         endpoint.set_default_client_config(options.identity.client.clone());
-        let (addresses, lanes) = (HashMap::new(), HashMap::new());
-        Ok(Self { options, endpoint, executor, sink, addresses, lanes })
+        Ok(Self {
+            options,
+            endpoint,
+            executor,
+            sink,
+            commands,
+            addresses: HashMap::new(),
+            runs: HashMap::new(),
+            lanes: HashMap::new(),
+        })
     }
 
     /// Takes commands until their channel is closed.
@@ -97,12 +113,19 @@
             self.endpoint.clone(),
             Arc::clone(&self.executor),
             self.options.stamps.clone(),
+            self.commands.clone(),
             Arc::clone(&self.sink),
         ));
         while let Ok(command) = commands.recv().await {
             match command {
                 LinkCommand::Send { to, body } => self.send(to, body),
                 LinkCommand::Addresses(addresses) => self.addresses = addresses,
+                LinkCommand::Connected { from, incarnation } => {
+                    let known = self.runs.insert(from.clone(), incarnation);
+                    if known.is_some_and(|known| known != incarnation) {
+                        self.lanes.remove(&from);
+                    }
+                }
             }
         }
         drop(accepting);
@@ -131,6 +154,7 @@
         let (sender, receiver) = bounded(LANE_FRAMES);
         let lane = PeerLane {
             own: self.options.own.clone(),
+            incarnation: self.options.incarnation,
             peer,
             address,
             endpoint: self.endpoint.clone(),
@@ -147,58 +171,15 @@
     endpoint: Endpoint,
     executor: Arc<Executor<'static>>,
     stamps: HybridClock,
+    commands: Sender<LinkCommand>,
     sink: Arc<S>,
 ) {
     while let Some(incoming) = endpoint.accept().await {
-        let (stamps, sink) = (stamps.clone(), Arc::clone(&sink));
-        executor.spawn(serve_link(incoming, stamps, sink)).detach();
-    }
-}
-
-async fn serve_link<S: LinkSink>(incoming: Incoming, stamps: HybridClock, sink: Arc<S>) {
-    let Ok(connection) = incoming.await else {
-        return sink.note_fault("handshake");
-    };
-    while let Ok(stream) = connection.accept_uni().await {
-        if let Err((code, reason)) = read_stream(&connection, stream, &stamps, &sink).await {
-            sink.note_fault(reason);
-            connection.close(code.into(), reason.as_bytes());
-            return;
-        }
-    }
-}
-
-/// Delivers the frames of a stream. The first one says who sends, and is checked against the
-/// certificate.
-async fn read_stream<S: LinkSink>(
-    connection: &Connection,
-    mut stream: RecvStream,
-    stamps: &HybridClock,
-    sink: &Arc<S>,
-) -> Result<(), (u32, &'static str)> {
-    let mut frames = FrameReader::default();
-    let mut sender: Option<InstanceName> = None;
-    let mut buffer = vec![0; READ_BYTES];
-    while let Ok(Some(count)) = stream.read(&mut buffer).await {
-        frames.push(&buffer[..count]);
-        loop {
-            let frame = frames.next_frame().map_err(|_| (MALFORMED_CODE, "malformed-frame"))?;
-            let Some(frame) = frame else { break };
-            stamps.observe(frame.stamp);
-            match (frame.body, &sender) {
-                (PeerBody::Hello(name), _) if is_from(connection, &name) => sender = Some(name),
-                (PeerBody::Hello(_), _) | (_, None) => return Err((IMPOSTOR_CODE, "impostor")),
-                (body, Some(sender)) => sink.deliver(sender.clone(), body),
-            }
-        }
+        let inbound = InboundLink {
+            stamps: stamps.clone(),
+            commands: commands.clone(),
+            sink: Arc::clone(&sink),
+        };
+        executor.spawn(inbound.serve(incoming)).detach();
     }
-    Ok(())
-}
-
-fn is_from(connection: &Connection, name: &InstanceName) -> bool {
-    let identity = connection.peer_identity();
-    let chain = identity.and_then(|any| any.downcast::<Vec<CertificateDer<'static>>>().ok());
-    let certificate = chain.as_ref().and_then(|chain| chain.first());
-    certificate
-        .is_some_and(|certificate| TlsIdentity::is_certificate_of(certificate, name.as_str()))
 }
--- a/kwg-router/src/inbound_sink.rs
+++ b/kwg-router/src/inbound_sink.rs
@@ -12,7 +12,7 @@
 impl LinkSink for InboundSink {
     fn deliver(&self, sender: InstanceName, body: PeerBody) {
         match body {
-            PeerBody::Hello(_) => {}
+            PeerBody::Hello { .. } => {}
             PeerBody::Traffic { from, to, message } if from.instance == sender => {
                 self.0.to_core(&to, TrafficInput::Peer { from, message });
             }
--- a/kwg-router/src/lib.rs
+++ b/kwg-router/src/lib.rs
@@ -13,6 +13,7 @@
 mod router_process;
 mod status_pages;
 mod traffic_thread;
+mod wake_timer;
 
 pub use router_error::RouterError;
 pub use router_process::{RouterOutcome, RouterProcess};
--- a/kwg-router/src/link_thread.rs
+++ b/kwg-router/src/link_thread.rs
@@ -33,6 +33,7 @@
         });
         let options = LinkOptions {
             own: pipes.settings.name.clone(),
+            incarnation: pipes.incarnation,
             address: files.address,
             identity: identity.context(LinkSnafu)?,
             clock: pipes.clock.clone(),
@@ -40,7 +41,8 @@
         };
         let executor = Arc::new(Executor::new());
         let sink = Arc::new(InboundSink(pipes.clone()));
-        let link = PeerLink::bind(options, Arc::clone(&executor), sink).context(LinkSnafu)?;
+        let link = PeerLink::bind(options, Arc::clone(&executor), pipes.link.clone(), sink)
+            .context(LinkSnafu)?;
         Ok(Self { executor, link, commands })
     }
 
--- a/kwg-router/src/traffic_thread.rs
+++ b/kwg-router/src/traffic_thread.rs
@@ -19,6 +19,7 @@
 use kwg_wire::PeerBody;
 
 use crate::router_pipes::RouterPipes;
+use crate::wake_timer::WakeTimer;
 
 /// How long a stopped core waits for its callers to take their last replies.
 const LINGER: Duration = Duration::from_secs(1);
@@ -84,8 +85,9 @@
 
     async fn traffic(mut self, inputs: Receiver<TrafficInput>, front: Rc<FrontServer>) {
         let clock = self.pipes.clock.clone();
+        let mut timer = WakeTimer::new(clock.clone());
         let mut drained = None;
-        while let Some(input) = self.next_input(&inputs).await {
+        while let Some(input) = self.next_input(&inputs, &mut timer).await {
             if let Some(fleet) = self.pipes.fleet.news(&self.fleet) {
                 self.fleet = Arc::clone(&fleet);
                 let outputs = self.core.step(clock.now(), TrafficInput::Fleet(fleet));
@@ -104,14 +106,18 @@
     }
 
     /// Waits for the next input, or for the time that the core asked for.
-    async fn next_input(&self, inputs: &Receiver<TrafficInput>) -> Option<TrafficInput> {
-        let clock = &self.pipes.clock;
-        let wake = self.core.next_wake(clock.now());
+    async fn next_input(
+        &self,
+        inputs: &Receiver<TrafficInput>,
+        timer: &mut WakeTimer,
+    ) -> Option<TrafficInput> {
+        // Under load the timer need not be touched for each token.
+        if let Ok(input) = inputs.try_recv() {
+            return Some(input);
+        }
+        timer.set(self.core.next_wake(self.pipes.clock.now()));
         let tick = async {
-            match wake {
-                Some(at) => clock.sleep_until(at).await,
-                None => std::future::pending().await,
-            }
+            timer.wait().await;
             Some(TrafficInput::Tick)
         };
         async { inputs.recv().await.ok() }.or(tick).await
--- a/kwg-settings/src/router_settings.rs
+++ b/kwg-settings/src/router_settings.rs
@@ -212,6 +212,7 @@
             0..=1 << 30,
             Some(defaults.answer_max_bytes),
         )?,
+        claim_timeout: timing.span("claim_timeout_ms", 10..=60_000, defaults.claim_timeout)?,
         home_timeout: timing.span("home_timeout_ms", 10..=60_000, defaults.home_timeout)?,
         home_retry: timing.span("home_retry_ms", 5..=10_000, defaults.home_retry)?,
         attach_timeout: timing.span("attach_timeout_ms", 10..=60_000, defaults.attach_timeout)?,
--- a/kwg-wire/src/frame_codec.rs
+++ b/kwg-wire/src/frame_codec.rs
@@ -48,7 +48,8 @@
     /// use kwg_model::InstanceName;
     /// use kwg_wire::{FrameCodec, FrameReader, PeerBody, PeerFrame};
     ///
-    /// let hello = PeerBody::Hello(InstanceName::new("r1").expect("valid"));
+    /// let instance = InstanceName::new("r1").expect("valid");
+    /// let hello = PeerBody::Hello { instance, incarnation: 1 };
     /// let frame = PeerFrame { stamp: 1, body: hello };
     /// let bytes = FrameCodec::encode(&frame)?;
     /// let mut reader = FrameReader::default();
--- a/kwg-wire/src/peer_frame.rs
+++ b/kwg-wire/src/peer_frame.rs
@@ -14,8 +14,13 @@
 /// What a frame carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerBody {
-    /// The first frame of every stream: who sends.
-    Hello(InstanceName),
+    /// The first frame of every stream: who sends, and in which run.
+    Hello {
+        /// The router.
+        instance: InstanceName,
+        /// Its run.
+        incarnation: u64,
+    },
     /// From traffic core to traffic core.
     Traffic {
         /// The sending core.
