--- a/kwg-bench/src/fleet/fleet_harness.rs
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -11,6 +11,7 @@
 use kwg_model::{AccountGrant, AccountName, DispatchTicket, SealKey};
 use kwg_peer::FleetAuthority;
 use kwg_standin::CallerAgent;
+use kwg_telemetry::TimeLine;
 use serde_json::json;
 
 use super::free_port::free_address;
@@ -142,9 +143,10 @@
     pub fn ticket_log(&self) -> TicketLog {
         let mut log = TicketLog::default();
         for number in 0..self.engines.len() {
-            log.add(&self.dir.join(format!("e{number}.log")));
+            let name = format!("e{number}");
+            log.add(&name, &self.dir.join(format!("{name}.log")));
         }
-        log.add(&self.dir.join("s0.log"));
+        log.add("s0", &self.dir.join("s0.log"));
         log
     }
 
@@ -156,6 +158,20 @@
         ticket.expect("routers hand out their own tickets").key.to_string()
     }
 
+    /// The events of all processes that name a ticket's key, in order.
+    #[must_use]
+    pub fn time_line(&self, key: &str) -> String {
+        let mut line = TimeLine::default();
+        let engines = (0..self.engines.len()).map(|number| format!("e{number}.log"));
+        let routers = (0..self.routers.len()).map(|number| format!("r{number}.log"));
+        for name in engines.chain(routers).chain(["s0.log".to_owned()]) {
+            let text = std::fs::read_to_string(self.dir.join(name)).unwrap_or_default();
+            text.lines().for_each(|event| drop(line.add(event)));
+        }
+        line.retain_matching(key);
+        line.to_string()
+    }
+
     /// The router runs that have not been killed, as the keys of their tickets begin.
     #[must_use]
     pub fn router_runs(&self) -> Vec<String> {
@@ -222,7 +238,10 @@
         let peers: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
         let rows = peers.iter().enumerate().map(|(number, peer)| {
             let (name, admin) = (format!("r{number}"), self.admins[number]);
-            json!({ "name": name, "kind": "router", "address": peer, "admin": admin })
+            let (_, region) = DOMAINS[number % DOMAINS.len()];
+            json!({
+                "name": name, "kind": "router", "address": peer, "admin": admin, "region": region,
+            })
         });
         let rows = json!(rows.collect::<Vec<_>>());
         let client = client(self.platform_address);
--- a/kwg-bench/src/lib.rs
+++ b/kwg-bench/src/lib.rs
@@ -6,4 +6,4 @@
 mod prove;
 
 pub use fleet::{FleetHarness, FleetPlan, FleetProcess, TicketLog};
-pub use prove::{KillProof, KillTally, OverheadProof, ShutdownProof, ShutdownTally};
+pub use prove::{KillProof, KillTally, OverheadProof, RunEvidence, ShutdownProof, ShutdownTally};
--- a/kwg-bench/src/prove/kill_proof.rs
+++ b/kwg-bench/src/prove/kill_proof.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::KillTally;
+use super::{KillTally, RunEvidence};
 use crate::{FleetHarness, FleetPlan};
 
 /// Callers that make requests at the same time.
@@ -59,18 +60,23 @@
             })
             .collect();
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let kills = block_on(executor.run(async {
-            let kills = inject(&mut harness, &mut rng, plan.routers, plan.engines).await;
+        let (kills, killed_targets) = block_on(executor.run(async {
+            let killed = inject(&mut harness, &mut rng, plan.routers, plan.engines).await;
             for caller in callers {
                 caller.await;
             }
-            kills
+            killed
         }));
         let reports = reports.borrow();
         let log = harness.ticket_log();
-        let runs = harness.router_runs();
-        let is_home_dead = |key: &str| !runs.iter().any(|run| key.starts_with(run));
-        let tally = KillTally::count(&reports, &log, |ticket| harness.key_of(ticket), is_home_dead);
+        let key_of = |ticket: &str| harness.key_of(ticket);
+        let evidence = RunEvidence {
+            log: &log,
+            key_of: &key_of,
+            live_runs: &harness.router_runs(),
+            killed_targets: &killed_targets,
+        };
+        let tally = KillTally::count(&reports, &evidence);
         if std::env::var_os("KWG_SHOW_UNKNOWN").is_some() {
             show(&harness, &reports);
         }
@@ -82,7 +88,8 @@
 fn show(harness: &FleetHarness, reports: &[CallReport]) {
     for report in reports.iter().filter(|report| report.result != CallResult::Answered) {
         let key = report.ticket.as_deref().map(|ticket| harness.key_of(ticket));
-        println!("  {:?} {:?} resends={}", key, report.result, report.resends);
+        println!("  {key:?} {:?} resends={}", report.result, report.resends);
+        print!("{}", harness.time_line(&key.unwrap_or_default()));
     }
 }
 
@@ -99,14 +106,15 @@
     }
 }
 
-/// Brings faults about at random times; gives the number of routers killed.
+/// Brings faults about at random times; gives the number of routers killed,
+/// and the names of the targets killed.
 async fn inject(
     harness: &mut FleetHarness,
     rng: &mut ChaCha8Rng,
     routers: usize,
     engines: usize,
-) -> usize {
-    let mut kills = 0;
+) -> (usize, BTreeSet<String>) {
+    let (mut kills, mut targets) = (0, BTreeSet::new());
     for _ in 0..FAULTS {
         Timer::after(Duration::from_millis(rng.random_range(100..600))).await;
         let fault = match rng.random_range(0..10) {
@@ -129,6 +137,7 @@
                 harness.routers[router].signal("CONT");
             }
             Fault::KillEngine(engine) => {
+                targets.insert(format!("e{engine}"));
                 harness.engines[engine].kill();
                 Timer::after(Duration::from_millis(300)).await;
                 harness.engines[engine].restart();
@@ -141,5 +150,5 @@
             Fault::LoseAnswers => harness.fault_platform("lose_answers=3"),
         }
     }
-    kills
+    (kills, targets)
 }
--- /dev/null
+++ b/kwg-bench/tests/processes.rs
@@ -0,0 +1,34 @@
+//! Over real processes: kills and pauses, rolling restarts. Counts only, no times.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use kwg_bench::{KillProof, ShutdownProof};
+
+/// The folder of the binaries, built first: tests of one crate do not build another's.
+fn bin() -> PathBuf {
+    let bench = Path::new(env!("CARGO_BIN_EXE_kwg-bench"));
+    let status = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--locked", "-p", "knapweedglade", "-p", "kwg-standin"])
+        .status();
+    assert!(status.is_ok_and(|status| status.success()), "the binaries build");
+    bench.parent().expect("a binary lies in a folder").to_owned()
+}
+
+#[test]
+fn nothing_is_dispatched_twice_and_every_word_is_true_under_kills() {
+    for seed in [1, 2] {
+        let tally = KillProof::run(&bin(), seed);
+        println!("seed={seed} {tally}");
+        assert!(tally.holds(), "{tally}");
+        assert!(tally.answered > 0, "{tally}");
+    }
+}
+
+#[test]
+fn rolling_restarts_cut_nothing_off() {
+    let tally = ShutdownProof::run(&bin(), 2);
+    println!("{tally}");
+    assert_eq!((tally.cut_off, tally.bad_exits, tally.dispatched_twice), (0, 0, 0), "{tally}");
+    assert!(tally.answered > 0);
+}
--- a/kwg-decide/src/lib.rs
+++ b/kwg-decide/src/lib.rs
@@ -14,6 +14,8 @@
     LedgerShelf, MintError, PendingClaim, Serving, TicketLedger,
 };
 pub use limit::{LoadGauge, LoadPermit};
-pub use membership::{InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState, RosterOptions};
+pub use membership::{
+    GraphMember, InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState, RosterOptions,
+};
 pub use placement::{PlacementOptions, PlacementRequest, TargetBook, TargetChoice, TargetHealth};
 pub use queue::{QueueEntry, QueueKey, QueueOptions, QueueVerdict, TierQueue};
--- a/kwg-decide/src/membership.rs
+++ b/kwg-decide/src/membership.rs
@@ -6,6 +6,6 @@
 mod peer_roster;
 
 pub use instance_book::InstanceBook;
-pub use peer_graph::PeerGraph;
+pub use peer_graph::{GraphMember, PeerGraph};
 pub use peer_record::{PeerRecord, PeerState};
 pub use peer_roster::{PeerRoster, RosterOptions};
--- a/kwg-flow/src/control/control_core.rs
+++ b/kwg-flow/src/control/control_core.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use kwg_decide::{InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState};
+use kwg_decide::{GraphMember, InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState};
 use kwg_model::{
     FleetSnapshot, HomeAddress, InstanceName, InstanceRow, MonoTime, TableDelta, TableSet,
 };
@@ -187,9 +187,15 @@
             let event = ControlEvent::InstanceLeaving { name: row.name.clone() };
             self.outputs.push(ControlOutput::Event(event));
         }
-        let members: Vec<InstanceName> = self.instances.routers().map(|(name, _)| name).collect();
+        let members = self
+            .instances
+            .routers()
+            .map(|(instance, row)| GraphMember { instance, region: row.region.clone() });
+        let members: Vec<GraphMember> = members.collect();
         let own = &self.roster.own().instance;
-        let neighbours = PeerGraph::neighbours(own, &members);
+        let unlisted = || GraphMember { instance: own.clone(), region: None };
+        let own = members.iter().find(|member| member.instance == *own).cloned();
+        let neighbours = PeerGraph::neighbours(&own.unwrap_or_else(unlisted), &members);
         for neighbour in neighbours.difference(&self.neighbours.clone()) {
             let to = neighbour.clone();
             self.outputs.push(ControlOutput::Send { to, message: ControlMessage::RosterPull });
--- a/kwg-flow/src/traffic/traffic_pipeline.rs
+++ b/kwg-flow/src/traffic/traffic_pipeline.rs
@@ -185,8 +185,8 @@
         holder: HomeAddress,
         pipe: &mut FlowPipe<'_>,
     ) {
-        if holder == context.identity.address {
-            // This core held the ticket and no longer keeps the answer.
+        if holder == context.identity.address || !context.is_alive(&holder) {
+            // This core held the ticket and no longer keeps the answer, or the holder is gone.
             return self.search(context, key, pipe);
         }
         let (recovery, shelf) = self.relay.recovery();
--- /dev/null
+++ b/kwg-flow/tests/control.rs
@@ -0,0 +1,237 @@
+//! The control core: tables upwards only, outages, news that spreads, many routers in one
+//! process.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kwg_decide::{PeerRecord, PeerState};
+use kwg_flow::{ControlCore, ControlInput, ControlMessage, ControlOptions, ControlOutput};
+use kwg_model::{
+    DomainName, FleetSnapshot, InstanceKind, InstanceName, InstanceRow, MonoTime, RegionName,
+    TableSet,
+};
+
+/// Control cores on one network, with one platform.
+struct ControlFleet {
+    now: MonoTime,
+    cores: BTreeMap<InstanceName, ControlCore>,
+    snapshots: BTreeMap<InstanceName, Arc<FleetSnapshot>>,
+    messages: Vec<(InstanceName, InstanceName, ControlMessage)>,
+    sent: usize,
+    reads: usize,
+    tables: Option<TableSet>,
+    list: (u64, Vec<InstanceRow>),
+    /// Routers that no message reaches or leaves.
+    cut_off: BTreeSet<InstanceName>,
+}
+
+fn name(number: usize) -> InstanceName {
+    InstanceName::new(format!("r{number:03}")).expect("valid")
+}
+
+fn record(number: usize, incarnation: u64) -> PeerRecord {
+    PeerRecord {
+        instance: name(number),
+        incarnation,
+        counter: 0,
+        state: PeerState::Serving,
+        shards: 1,
+        domain: DomainName::new("ost-graz").expect("valid"),
+        region: RegionName::new("ost").expect("valid"),
+    }
+}
+
+fn row(name: &str, kind: InstanceKind, leaving: bool) -> InstanceRow {
+    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    InstanceRow { name: name.to_owned(), kind, address, admin: None, region: None, leaving }
+}
+
+fn revision(revision: u64) -> TableSet {
+    TableSet { revision, change_id: format!("change {revision}"), ..TableSet::default() }
+}
+
+impl ControlFleet {
+    fn new(routers: usize) -> Self {
+        let mut rows: Vec<InstanceRow> = (0..routers)
+            .map(|number| row(name(number).as_str(), InstanceKind::Router, false))
+            .collect();
+        rows.push(row("e1", InstanceKind::Target, false));
+        let cores = (0..routers).map(|number| {
+            (name(number), ControlCore::new(record(number, 1), ControlOptions::default()))
+        });
+        Self {
+            now: MonoTime::from_millis(1),
+            cores: cores.collect(),
+            snapshots: BTreeMap::new(),
+            messages: Vec::new(),
+            sent: 0,
+            reads: 0,
+            tables: Some(revision(1)),
+            list: (1, rows),
+            cut_off: BTreeSet::new(),
+        }
+    }
+
+    fn input(&mut self, router: &InstanceName, input: ControlInput) {
+        let Some(core) = self.cores.get_mut(router) else { return };
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in core.step(self.now, input) {
+                match output {
+                    ControlOutput::Publish(snapshot) => {
+                        self.snapshots.insert(router.clone(), snapshot);
+                    }
+                    ControlOutput::Send { to, message } => {
+                        self.sent += 1;
+                        self.messages.push((router.clone(), to, message));
+                    }
+                    ControlOutput::ReadTables => {
+                        self.reads += 1;
+                        inputs.push(ControlInput::TablesRead(self.tables.clone()));
+                    }
+                    ControlOutput::ReadInstances => {
+                        let list = self.tables.is_some().then(|| self.list.clone());
+                        inputs.push(ControlInput::InstancesRead(list));
+                    }
+                    ControlOutput::Event(_) => {}
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        const STEP: Duration = Duration::from_millis(50);
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for (from, to, message) in std::mem::take(&mut self.messages) {
+                if !self.cut_off.contains(&from) && !self.cut_off.contains(&to) {
+                    self.input(&to, ControlInput::Peer { from, message });
+                }
+            }
+            let routers: Vec<InstanceName> = self.cores.keys().cloned().collect();
+            for router in routers {
+                if self.cores[&router].next_wake() <= self.now {
+                    self.input(&router, ControlInput::Tick);
+                }
+            }
+        }
+    }
+
+    fn revisions(&self) -> BTreeSet<u64> {
+        self.cores.values().map(|core| core.status().revision).collect()
+    }
+}
+
+#[test]
+fn every_router_finds_every_other() {
+    let mut fleet = ControlFleet::new(50);
+    fleet.pass(Duration::from_secs(15));
+    assert!(fleet.cores.values().all(|core| core.status().peers == 49));
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_seconds_and_never_reverts() {
+    let mut fleet = ControlFleet::new(50);
+    fleet.pass(Duration::from_secs(5));
+    fleet.tables = Some(revision(2));
+    fleet.pass(Duration::from_secs(2));
+    assert_eq!(fleet.revisions(), BTreeSet::from([2]));
+    // A replica of the service that lags, or a late message, brings back nothing.
+    fleet.tables = Some(revision(1));
+    let late = ControlMessage::Tables(Arc::new(revision(1)));
+    fleet.input(&name(3), ControlInput::Peer { from: name(4), message: late });
+    fleet.pass(Duration::from_secs(5));
+    assert_eq!(fleet.revisions(), BTreeSet::from([2]));
+}
+
+#[test]
+fn a_router_that_starts_in_an_outage_learns_the_tables_from_a_peer() {
+    let mut fleet = ControlFleet::new(9);
+    fleet.pass(Duration::from_secs(3));
+    let restarted = name(4);
+    // It read the instance list, and then the service went away.
+    let core = ControlCore::new(record(4, 2), ControlOptions::default());
+    fleet.cores.insert(restarted.clone(), core);
+    assert!(!fleet.cores[&restarted].status().ready, "it does not serve before it knows them");
+    let list = fleet.list.clone();
+    fleet.tables = None;
+    fleet.input(&restarted, ControlInput::InstancesRead(Some(list)));
+    fleet.pass(Duration::from_secs(3));
+    assert!(fleet.cores[&restarted].status().ready);
+}
+
+#[test]
+fn a_leaving_target_is_known_everywhere_within_two_seconds() {
+    let mut fleet = ControlFleet::new(50);
+    fleet.pass(Duration::from_secs(5));
+    fleet.list.0 = 2;
+    fleet.list.1.pop();
+    fleet.list.1.push(row("e1", InstanceKind::Target, true));
+    fleet.pass(Duration::from_secs(2));
+    assert!(fleet.snapshots.values().all(|snapshot| snapshot.leaving.len() == 1));
+}
+
+#[test]
+fn a_silent_router_is_noticed_by_all_and_welcomed_back() {
+    let mut fleet = ControlFleet::new(20);
+    fleet.pass(Duration::from_secs(5));
+    fleet.cut_off.insert(name(7));
+    fleet.pass(Duration::from_secs(8));
+    let others = |fleet: &ControlFleet| -> BTreeSet<usize> {
+        let others = fleet.cores.iter().filter(|(router, _)| **router != name(7));
+        others.map(|(_, core)| core.status().peers).collect()
+    };
+    assert_eq!(others(&fleet), BTreeSet::from([18]));
+    fleet.cut_off.clear();
+    fleet.pass(Duration::from_secs(15));
+    assert_eq!(others(&fleet), BTreeSet::from([19]));
+}
+
+#[test]
+fn a_restarted_router_is_told_apart_from_its_old_run() {
+    let mut fleet = ControlFleet::new(9);
+    fleet.pass(Duration::from_secs(3));
+    let core = ControlCore::new(record(4, 2), ControlOptions::default());
+    fleet.cores.insert(name(4), core);
+    fleet.pass(Duration::from_secs(5));
+    for (router, snapshot) in fleet.snapshots.iter().filter(|(router, _)| **router != name(4)) {
+        assert_eq!(snapshot.peers[&name(4)].incarnation, 2, "{router}");
+        assert!(snapshot.ended.contains(&(name(4), 1)), "{router}");
+    }
+}
+
+#[test]
+fn a_handed_over_ledger_is_known_everywhere() {
+    let mut fleet = ControlFleet::new(50);
+    fleet.pass(Duration::from_secs(5));
+    let address = |number, incarnation| kwg_model::HomeAddress {
+        instance: name(number),
+        incarnation,
+        shard: 0,
+    };
+    let (home, successor) = (address(1, 1), address(2, 1));
+    let input = ControlInput::Inherited { home: home.clone(), successor: successor.clone() };
+    fleet.input(&name(2), input);
+    fleet.pass(Duration::from_secs(5));
+    assert!(fleet.snapshots.values().all(|snapshot| snapshot.moved.get(&home) == Some(&successor)));
+}
+
+/// Counts, not times: what a router sends does not grow with the fleet.
+#[test]
+fn messages_for_each_router_do_not_grow_with_the_fleet() {
+    let mut per_router = Vec::new();
+    for routers in [9, 50, 200] {
+        let mut fleet = ControlFleet::new(routers);
+        fleet.pass(Duration::from_secs(20));
+        let (sent, reads) = (fleet.sent, fleet.reads);
+        fleet.pass(Duration::from_secs(20));
+        per_router.push((fleet.sent - sent) / routers);
+        // 200 reads a second for the fleet at the most.
+        assert!(fleet.reads - reads <= 20 * 200 + routers, "{routers} routers");
+    }
+    // Eight neighbours, a heartbeat a second.
+    assert!(per_router.iter().all(|messages| *messages <= 8 * 20 + 8), "{per_router:?}");
+}
--- /dev/null
+++ b/kwg-flow/tests/limits.rs
@@ -0,0 +1,205 @@
+//! Waiting, shedding, deadlines, targets that refuse or break off, and callers that leave.
+
+mod support;
+
+use std::time::Duration;
+
+use kwg_decide::QueueOptions;
+use kwg_flow::{EventKind, TargetEvent, TrafficInput, TrafficOptions};
+use kwg_model::{CallOutcome, CallSubmission, NotRunReason, UnknownReason};
+use support::{ANSWER, SimFleet, submission};
+
+/// Two engines with room for one request each, and a short queue.
+fn crowded(queue_tokens: u64) -> SimFleet {
+    let options = TrafficOptions {
+        queue: QueueOptions { max_tokens: queue_tokens, max_entries: 100 },
+        ..TrafficOptions::default()
+    };
+    let mut fleet = SimFleet::with_options(1, 1, options);
+    fleet.submit("r1", submission("labels"));
+    fleet.submit("r1", submission("labels"));
+    assert_eq!(fleet.cores["r1"].dispatched.len(), 2);
+    fleet
+}
+
+#[test]
+fn urgent_work_goes_first() {
+    let mut fleet = crowded(1_000);
+    fleet.submit("r1", submission("labels"));
+    let urgent = fleet.submit("r1", submission("patches"));
+    let first = fleet.cores["r1"].dispatched[0].right.key().clone();
+    fleet.answer("r1", &first);
+    assert!(fleet.token("r1", urgent).is_some(), "the urgent one got the room");
+    assert_eq!(fleet.cores["r1"].core.queued(), 1);
+}
+
+#[test]
+fn the_lowest_tier_is_shed_first_and_truly_not_run() {
+    let cost = submission("labels").cost_tokens();
+    let mut fleet = crowded(2 * cost);
+    let ticket = fleet.ticket("r1");
+    let routine = CallSubmission { ticket: Some(ticket.clone()), ..submission("labels") };
+    let shed = fleet.submit("r1", routine.clone());
+    fleet.submit("r1", submission("patches"));
+    fleet.submit("r1", submission("patches"));
+    let overload = CallOutcome::NotRun(NotRunReason::Overload);
+    assert_eq!(fleet.outcome("r1", shed), Some(overload));
+    let again = fleet.submit("r1", routine);
+    let spent = CallOutcome::NotRun(NotRunReason::TicketSpent);
+    fleet.pass(Duration::from_secs(11));
+    assert!(
+        [Some(overload), Some(spent)].contains(&fleet.outcome("r1", again)),
+        "not run under this ticket, ever"
+    );
+    assert_eq!(fleet.dispatches(&ticket.key), 0);
+}
+
+#[test]
+fn a_request_past_its_deadline_is_not_run() {
+    let mut fleet = crowded(1_000);
+    let hasty =
+        CallSubmission { deadline: Some(Duration::from_millis(50)), ..submission("patches") };
+    let caller = fleet.submit("r1", hasty);
+    fleet.pass(Duration::from_millis(100));
+    let late = CallOutcome::NotRun(NotRunReason::Deadline);
+    assert_eq!(fleet.outcome("r1", caller), Some(late));
+}
+
+#[test]
+fn a_refused_connection_is_no_dispatch_and_another_target_gets_the_request() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let order = fleet.cores.get_mut("r1").expect("runs").dispatched.remove(0);
+    let (key, refused) = (order.right.key().clone(), order.target.clone());
+    fleet.target("r1", &key, TargetEvent::NotStarted(Box::new(order)));
+    let again = &fleet.cores["r1"].dispatched[0];
+    assert_ne!(again.target, refused);
+    fleet.answer("r1", &key);
+    assert!(fleet.has_whole_answer("r1", caller));
+}
+
+#[test]
+fn a_request_that_no_target_takes_is_not_run() {
+    let mut fleet = SimFleet::new(1);
+    let hasty =
+        CallSubmission { deadline: Some(Duration::from_millis(300)), ..submission("patches") };
+    let caller = fleet.submit("r1", hasty);
+    for _ in 0..2 {
+        let order = fleet.cores.get_mut("r1").expect("runs").dispatched.pop().expect("placed");
+        let key = order.right.key().clone();
+        fleet.target("r1", &key, TargetEvent::NotStarted(Box::new(order)));
+    }
+    fleet.pass(Duration::from_millis(400));
+    let not_run = CallOutcome::NotRun(NotRunReason::NoTarget);
+    assert_eq!(fleet.outcome("r1", caller), Some(not_run));
+}
+
+#[test]
+fn a_broken_stream_is_resumed_at_its_target_and_never_sent_elsewhere() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let order = &fleet.cores["r1"].dispatched[0];
+    let (key, target) = (order.right.key().clone(), order.target.clone());
+    fleet.part("r1", &key, 0, b"the ");
+    fleet.target("r1", &key, TargetEvent::Cut);
+    fleet.pass(Duration::from_millis(100));
+    let resumed = &fleet.cores["r1"].resumed[0];
+    assert_eq!((&resumed.target, resumed.offset), (&target, 4));
+    fleet.part("r1", &key, 4, &ANSWER[4..]);
+    fleet.target("r1", &key, TargetEvent::End { length: ANSWER.len() as u64 });
+    assert!(fleet.has_whole_answer("r1", caller));
+    assert_eq!(fleet.dispatches(&key), 1);
+}
+
+#[test]
+fn a_target_that_stays_away_makes_the_outcome_unknown() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let key = fleet.cores["r1"].dispatched[0].right.key().clone();
+    for _ in 0..6 {
+        fleet.target("r1", &key, TargetEvent::Cut);
+        fleet.pass(Duration::from_secs(1));
+    }
+    let unknown = CallOutcome::Unknown(UnknownReason::TargetFailed);
+    assert_eq!(fleet.outcome("r1", caller), Some(unknown));
+    assert_eq!(fleet.dispatches(&key), 1, "it is never tried elsewhere");
+}
+
+#[test]
+fn a_cut_plain_service_is_unknown_at_once() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("bookings"));
+    let key = fleet.cores["r1"].dispatched[0].right.key().clone();
+    fleet.target("r1", &key, TargetEvent::Cut);
+    let unknown = CallOutcome::Unknown(UnknownReason::TargetFailed);
+    assert_eq!(fleet.outcome("r1", caller), Some(unknown));
+}
+
+#[test]
+fn an_end_that_does_not_fit_the_bytes_is_a_cut() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let key = fleet.cores["r1"].dispatched[0].right.key().clone();
+    fleet.part("r1", &key, 0, b"the ");
+    fleet.target("r1", &key, TargetEvent::End { length: ANSWER.len() as u64 });
+    assert!(!fleet.text("r1", caller).1, "no end is told");
+    assert!(fleet.saw("r1", |kind| matches!(kind, EventKind::Cut { .. })));
+}
+
+#[test]
+fn an_answer_without_readers_is_cancelled_after_a_while() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let key = fleet.cores["r1"].dispatched[0].right.key().clone();
+    fleet.input("r1", TrafficInput::CallerGone { caller });
+    fleet.pass(Duration::from_secs(29));
+    assert!(fleet.cores["r1"].cancelled.is_empty(), "a resend may still come");
+    fleet.pass(Duration::from_secs(2));
+    assert_eq!(fleet.cores["r1"].cancelled, [key]);
+    assert_eq!(fleet.cores["r1"].core.running(), 0);
+}
+
+#[test]
+fn a_non_idempotent_request_runs_on_without_readers() {
+    let mut fleet = SimFleet::new(2);
+    let ticket = fleet.tickets("r1", 1, true).expect("r2 is elsewhere").remove(0);
+    let request = CallSubmission {
+        ticket: Some(ticket.clone()),
+        non_idempotent: true,
+        ..submission("patches")
+    };
+    let caller = fleet.submit("r1", request);
+    fleet.input("r1", TrafficInput::CallerGone { caller });
+    fleet.pass(Duration::from_secs(40));
+    assert!(fleet.cores["r1"].cancelled.is_empty());
+    assert_eq!(fleet.cores["r1"].core.running(), 1);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let mut fleet = SimFleet::new(1);
+    fleet.fleet.leaving.insert(kwg_model::TargetName::new("e1").expect("valid"));
+    fleet.publish();
+    for _ in 0..20 {
+        fleet.submit("r1", submission("patches"));
+    }
+    let orders = &fleet.cores["r1"].dispatched;
+    assert!(!orders.is_empty() && orders.iter().all(|order| order.target.as_str() == "e2"));
+}
+
+#[test]
+fn memory_is_bounded_by_time() {
+    let mut fleet = SimFleet::new(1);
+    for _ in 0..50 {
+        fleet.submit("r1", submission("patches"));
+        let key = fleet.cores["r1"].dispatched.last().expect("placed").right.key().clone();
+        fleet.answer("r1", &key);
+    }
+    assert_eq!(fleet.cores["r1"].core.record_count(), 100, "a claim and an answer each");
+    fleet.now = fleet.now + Duration::from_secs(61);
+    fleet.input("r1", TrafficInput::Tick);
+    assert_eq!(fleet.cores["r1"].core.record_count(), 50, "answers go first");
+    fleet.now = fleet.now + Duration::from_secs(900);
+    fleet.input("r1", TrafficInput::Tick);
+    assert_eq!(fleet.cores["r1"].core.record_count(), 0);
+}
--- /dev/null
+++ b/kwg-http/tests/cut_bodies.rs
@@ -0,0 +1,65 @@
+//! What the HTTP library does with a body cut short, and that the whole-body reader always
+//! tells: a cut is never the end.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use async_io::block_on;
+use http_types::Method;
+use kwg_clock::ClockHandle;
+use kwg_http::{BodyError, CallClient, CallError, HttpReply};
+
+/// Answers one connection with these bytes and closes it.
+fn server(reply: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller connects");
+        let mut buffer = [0; 1_024];
+        let read = stream.read(&mut buffer).expect("a request comes");
+        assert!(read > 0);
+        stream.write_all(reply.as_bytes()).expect("the caller reads");
+    });
+    address
+}
+
+fn call(reply: &'static str) -> Result<HttpReply, CallError> {
+    let client = CallClient::new(server(reply), Duration::from_secs(5), ClockHandle::system());
+    let request = client.request(Method::Get, "/").expect("a valid path");
+    block_on(client.call(request))
+}
+
+#[test]
+fn whole_bodies_are_whole() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    let counted = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    for reply in [chunked, counted] {
+        assert_eq!(call(reply).expect("whole").body, b"hello");
+    }
+}
+
+#[test]
+fn a_chunked_body_cut_short_is_an_error() {
+    let reply = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhello";
+    assert!(matches!(call(reply), Err(CallError::Reply { .. })));
+}
+
+#[test]
+fn a_chunked_body_without_its_last_chunk_is_an_error() {
+    let reply = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+    assert!(matches!(call(reply), Err(CallError::Reply { .. })));
+}
+
+/// The library hands such a body out as if it were whole; counting finds it.
+#[test]
+fn a_counted_body_cut_short_is_an_error() {
+    let reply = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello";
+    let error = call(reply).expect_err("4 bytes are missing");
+    let cut = BodyError::Cut { read: 5, length: 9 };
+    assert!(
+        matches!(error, CallError::Reply { source: BodyError::Cut { read: 5, length: 9 }, .. }),
+        "{cut}"
+    );
+}
--- a/kwg-model/src/instance_row.rs
+++ b/kwg-model/src/instance_row.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::RegionName;
+
 /// One row of the platform's instance list. The list lags behind what it describes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceRow {
@@ -14,6 +16,9 @@
     /// Where a router listens for operators.
     #[serde(default)]
     pub admin: Option<SocketAddr>,
+    /// The region it stands in, if the list tells.
+    #[serde(default)]
+    pub region: Option<RegionName>,
     /// Whether it is about to stop.
     #[serde(default)]
     pub leaving: bool,
--- /dev/null
+++ b/kwg-peer/tests/links.rs
@@ -0,0 +1,184 @@
+//! Links between routers: frames arrive, impostors and garbage do not, restarts are noticed.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_channel::{Sender, bounded};
+use async_executor::Executor;
+use async_io::block_on;
+use kwg_clock::ClockHandle;
+use kwg_flow::ControlMessage;
+use kwg_model::InstanceName;
+use kwg_peer::{
+    FleetAuthority, IdentityFiles, LinkCommand, LinkOptions, LinkSink, PeerLink, TlsIdentity,
+};
+use kwg_telemetry::HybridClock;
+use kwg_wire::PeerBody;
+
+#[derive(Debug, Default)]
+struct TestSink {
+    bodies: Mutex<Vec<(InstanceName, PeerBody)>>,
+    faults: Mutex<Vec<&'static str>>,
+}
+
+impl LinkSink for TestSink {
+    fn deliver(&self, from: InstanceName, body: PeerBody) {
+        self.bodies.lock().expect("no panic").push((from, body));
+    }
+
+    fn note_fault(&self, reason: &'static str) {
+        self.faults.lock().expect("no panic").push(reason);
+    }
+}
+
+struct TestRouter {
+    commands: Sender<LinkCommand>,
+    sink: Arc<TestSink>,
+}
+
+fn name(text: &str) -> InstanceName {
+    InstanceName::new(text).expect("valid")
+}
+
+fn free_address() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port is free")
+}
+
+/// A folder with an authority and keys for two routers; it is removed at the end.
+struct KeyFolder(PathBuf);
+
+impl KeyFolder {
+    fn new(test: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("kwg-links-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("writable");
+        let folder = Self(dir);
+        let authority = FleetAuthority::generate().expect("keys can be made");
+        folder.write("fleet.crt", authority.certificate());
+        for router in ["r1", "r2"] {
+            let keys = authority.issue(router).expect("keys can be made");
+            folder.write(&format!("{router}.crt"), &keys.certificate);
+            folder.write(&format!("{router}.key"), &keys.key);
+        }
+        folder
+    }
+
+    fn write(&self, file: &str, text: &str) {
+        std::fs::write(self.0.join(file), text).expect("writable");
+    }
+
+    fn path(&self, file: String) -> PathBuf {
+        Path::join(&self.0, file)
+    }
+
+    /// Starts the link of a router that calls itself `own` and holds the keys of `keys`.
+    fn start(&self, own: &str, keys: &str, incarnation: u64, address: SocketAddr) -> TestRouter {
+        let identity = TlsIdentity::load(IdentityFiles {
+            authority: &self.path("fleet.crt".to_owned()),
+            certificate: &self.path(format!("{keys}.crt")),
+            key: &self.path(format!("{keys}.key")),
+        });
+        let options = LinkOptions {
+            own: name(own),
+            incarnation,
+            address,
+            identity: identity.expect("valid keys"),
+            clock: ClockHandle::system(),
+            stamps: HybridClock::default(),
+        };
+        let (sink, executor) = (Arc::new(TestSink::default()), Arc::new(Executor::new()));
+        let (commands, ends) = bounded(100);
+        let (link_sink, way) = (Arc::clone(&sink), commands.clone());
+        let link = PeerLink::bind(options, Arc::clone(&executor), way, link_sink).expect("free");
+        thread::spawn(move || block_on(executor.run(link.run(ends))));
+        TestRouter { commands, sink }
+    }
+}
+
+impl Drop for KeyFolder {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.0));
+    }
+}
+
+impl TestRouter {
+    fn knows(&self, router: &str, address: SocketAddr) {
+        let addresses = HashMap::from([(name(router), address)]);
+        self.commands.try_send(LinkCommand::Addresses(addresses)).expect("room");
+    }
+
+    fn send(&self, to: &str) {
+        let body = PeerBody::Control(ControlMessage::TablePull);
+        self.commands.try_send(LinkCommand::Send { to: name(to), body }).expect("room");
+    }
+
+    /// Waits until `count` messages have come, sending again meanwhile as the cores do.
+    fn wait_for(&self, count: usize, mut again: impl FnMut()) {
+        let start = Instant::now();
+        while self.sink.bodies.lock().expect("no panic").len() < count {
+            assert!(start.elapsed() < Duration::from_secs(30), "no message comes");
+            again();
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn has_fault(&self, reason: &str) -> bool {
+        self.sink.faults.lock().expect("no panic").contains(&reason)
+    }
+}
+
+#[test]
+fn messages_arrive_with_their_sender() {
+    let folder = KeyFolder::new("arrive");
+    let (one, two) = (free_address(), free_address());
+    let (first, second) = (folder.start("r1", "r1", 1, one), folder.start("r2", "r2", 1, two));
+    first.knows("r2", two);
+    second.wait_for(1, || first.send("r2"));
+    let bodies = second.sink.bodies.lock().expect("no panic");
+    assert_eq!(bodies[0], (name("r1"), PeerBody::Control(ControlMessage::TablePull)));
+}
+
+#[test]
+fn a_router_with_the_keys_of_another_is_an_impostor() {
+    let folder = KeyFolder::new("impostor");
+    let (one, two) = (free_address(), free_address());
+    let (first, second) = (folder.start("r1", "r2", 1, one), folder.start("r2", "r2", 1, two));
+    first.knows("r2", two);
+    let start = Instant::now();
+    while !second.has_fault("impostor") {
+        assert!(start.elapsed() < Duration::from_secs(30), "the impostor is not noticed");
+        first.send("r2");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(second.sink.bodies.lock().expect("no panic").is_empty());
+}
+
+#[test]
+fn another_fleet_gets_no_link() {
+    let (folder, other) = (KeyFolder::new("fleet-a"), KeyFolder::new("fleet-b"));
+    let (one, two) = (free_address(), free_address());
+    let (first, second) = (other.start("r1", "r1", 1, one), folder.start("r2", "r2", 1, two));
+    first.knows("r2", two);
+    let start = Instant::now();
+    while !first.has_fault("connect") {
+        assert!(start.elapsed() < Duration::from_secs(30), "the handshake does not fail");
+        first.send("r2");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(second.sink.bodies.lock().expect("no panic").is_empty());
+}
+
+#[test]
+fn a_message_without_an_address_is_counted() {
+    let folder = KeyFolder::new("no-address");
+    let first = folder.start("r1", "r1", 1, free_address());
+    first.send("r2");
+    let start = Instant::now();
+    while !first.has_fault("no-address") {
+        assert!(start.elapsed() < Duration::from_secs(30));
+        thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/kwg-platform/tests/config_store.rs
@@ -0,0 +1,136 @@
+//! Edits of the tables against the stand-in platform: races, lost answers, outages.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::block_on;
+use http_types::Method;
+use kwg_clock::ClockHandle;
+use kwg_http::CallClient;
+use kwg_model::{PoolName, RouteName, RouteRow, ServiceTier, TableSet};
+use kwg_platform::{ConfigStore, EditOutcome, EditRequest, TableClient};
+use kwg_standin::PlatformStandin;
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("bound")
+}
+
+struct Platform {
+    client: CallClient,
+    store: ConfigStore,
+}
+
+impl Platform {
+    async fn fault(&self, query: &str) {
+        let request = self.client.request(Method::Post, format!("/fault?{query}"));
+        self.client.call(request.expect("a valid path")).await.expect("the stand-in answers");
+    }
+}
+
+/// Runs a test against a platform of its own.
+fn with_platform(test: impl AsyncFnOnce(Platform)) {
+    let executor = Rc::new(LocalExecutor::new());
+    let address = free_address();
+    let clock = ClockHandle::system();
+    let client = CallClient::new(address, Duration::from_millis(500), clock.clone());
+    let store = ConfigStore::new(TableClient::new(client.clone()), clock);
+    executor.spawn(PlatformStandin::run(address, Rc::clone(&executor))).detach();
+    block_on(executor.run(async {
+        while store.read().await.is_err() {
+            ClockHandle::system().sleep(Duration::from_millis(5)).await;
+        }
+        test(Platform { client, store }).await;
+    }));
+}
+
+fn request(id: &str) -> EditRequest {
+    EditRequest { change_id: id.to_owned(), editor: format!("editor of {id}"), edited_at_ms: 7 }
+}
+
+fn tables(routes: &[&str]) -> TableSet {
+    let rows = routes.iter().map(|name| {
+        let name = RouteName::new(name).expect("valid");
+        let tier = ServiceTier::new(1).expect("in range");
+        let pool = PoolName::new("graz").expect("valid");
+        (name.clone(), RouteRow { name, pool, tier, deadline_ms: 1 })
+    });
+    TableSet { routes: rows.collect(), ..TableSet::default() }
+}
+
+#[test]
+fn an_edit_is_accepted_and_read_back() {
+    with_platform(async |platform| {
+        let store = &platform.store;
+        let empty = store.read().await.expect("up");
+        let outcome = store.edit(&empty, tables(&["a", "b"]), &request("one")).await;
+        assert_eq!(outcome.expect("sent"), EditOutcome::Accepted { revision: 1 });
+        let first = store.read().await.expect("up");
+        let outcome = store.edit(&first, tables(&["b"]), &request("two")).await;
+        assert_eq!(outcome.expect("sent"), EditOutcome::Accepted { revision: 2 });
+        let second = store.read().await.expect("up").tables;
+        assert_eq!((second.revision, second.routes.len()), (2, 1));
+        assert_eq!(second.editor, "editor of two");
+    });
+}
+
+#[test]
+fn of_two_racing_edits_one_wins_and_the_other_is_told_by_whom() {
+    with_platform(async |platform| {
+        let store = &platform.store;
+        let base = store.read().await.expect("up");
+        let first = store.edit(&base, tables(&["a"]), &request("one")).await.expect("sent");
+        let second = store.edit(&base, tables(&["b"]), &request("two")).await.expect("sent");
+        assert_eq!(first, EditOutcome::Accepted { revision: 1 });
+        let editor = "editor of one".to_owned();
+        assert_eq!(second, EditOutcome::Lost { revision: 1, editor, edited_at_ms: 7 });
+        assert!(
+            store.read().await.expect("up").tables.routes.keys().all(|route| route.as_str() == "a")
+        );
+    });
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading() {
+    with_platform(async |platform| {
+        let store = &platform.store;
+        let base = store.read().await.expect("up");
+        platform.fault("lose_answers=1").await;
+        let outcome = store.edit(&base, tables(&["a"]), &request("one")).await.expect("sent");
+        assert_eq!(outcome, EditOutcome::Accepted { revision: 1 });
+        assert_eq!(store.read().await.expect("up").tables.revision, 1, "accepted once");
+    });
+}
+
+#[test]
+fn a_lost_answer_is_settled_though_another_edit_came_on_top() {
+    with_platform(async |platform| {
+        let store = &platform.store;
+        let base = store.read().await.expect("up");
+        platform.fault("lose_answers=1").await;
+        let first = request("one");
+        let slow = store.edit(&base, tables(&["a"]), &first);
+        let other = async {
+            // Between the lost answer and the first editor's next try.
+            ClockHandle::system().sleep(Duration::from_millis(100)).await;
+            let base = store.read().await.expect("up");
+            store.edit(&base, tables(&["a", "b"]), &request("two")).await.expect("sent")
+        };
+        let (first, second) = futures_lite::future::zip(slow, other).await;
+        assert_eq!(first.expect("sent"), EditOutcome::Accepted { revision: 1 });
+        assert_eq!(second, EditOutcome::Accepted { revision: 2 });
+    });
+}
+
+#[test]
+fn in_an_outage_an_edit_is_refused_plainly() {
+    with_platform(async |platform| {
+        let base = platform.store.read().await.expect("up");
+        platform.fault("down=1").await;
+        let outcome = platform.store.edit(&base, tables(&["a"]), &request("one")).await;
+        assert!(matches!(outcome, Ok(EditOutcome::Unsettled { .. })), "{outcome:?}");
+        assert!(platform.store.read().await.is_err());
+    });
+}
--- a/kwg-standin/src/caller/call_report.rs
+++ b/kwg-standin/src/caller/call_report.rs
@@ -20,7 +20,9 @@
 pub struct CallReport {
     /// The ticket, if the caller had one.
     pub ticket: Option<String>,
-    /// The id under which targets see the request, read from the ticket's text.
+    /// Whether the answer comes from an engine.
+    pub is_engine: bool,
+    /// How it ended.
     pub result: CallResult,
     /// How often the request or its answer was sent again.
     pub resends: u32,
--- a/kwg-standin/src/caller/caller_agent.rs
+++ b/kwg-standin/src/caller/caller_agent.rs
@@ -90,6 +90,7 @@
         }
         CallReport {
             ticket: state.ticket,
+            is_engine: plan.is_engine,
             result,
             resends: sends.saturating_sub(1),
             first_byte: state.first_byte,
--- /dev/null
+++ b/kwg-wire/tests/codecs.rs
@@ -0,0 +1,102 @@
+//! Codecs against truncation, bit flips and garbage: an error or nothing, never a panic.
+
+use kwg_flow::{AnswerNote, ControlMessage, TrafficMessage};
+use kwg_model::{
+    AccountName, ByteChunk, ClaimStub, DispatchTicket, HomeAddress, InstanceName, MonoTime,
+    TicketKey,
+};
+use kwg_wire::{FrameCodec, FrameReader, PeerBody, PeerFrame, SseEvent, SseKind, SseParser};
+use quickcheck::quickcheck;
+
+fn home(shard: u16) -> HomeAddress {
+    HomeAddress { instance: InstanceName::new("r1").expect("valid"), incarnation: 3, shard }
+}
+
+fn frames(sequence: u64, bytes: &[u8]) -> Vec<PeerFrame> {
+    let key = TicketKey { home: home(0), sequence };
+    let account = AccountName::new("bank").expect("valid");
+    let ticket = DispatchTicket { key: key.clone(), account, minted_at: MonoTime::ZERO };
+    let stub = ClaimStub { claimer: home(1), attempt: sequence };
+    let note = AnswerNote::Part { offset: sequence, chunk: ByteChunk::from(bytes) };
+    let messages = [TrafficMessage::Claim { ticket, stub }, TrafficMessage::Answer { key, note }];
+    let traffic = messages.map(|message| PeerBody::Traffic { from: home(0), to: home(1), message });
+    let bodies = traffic.into_iter().chain([PeerBody::Control(ControlMessage::TablePull)]);
+    bodies.map(|body| PeerFrame { stamp: sequence, body }).collect()
+}
+
+fn encode(frames: &[PeerFrame]) -> Vec<u8> {
+    frames.iter().flat_map(|frame| FrameCodec::encode(frame).expect("short frames")).collect()
+}
+
+quickcheck! {
+    fn frames_survive_any_cutting(sequence: u64, bytes: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let sent = frames(sequence, &bytes);
+        let (stream, mut reader, mut got) = (encode(&sent), FrameReader::default(), Vec::new());
+        let mut rest = stream.as_slice();
+        let mut cuts = cuts.into_iter();
+        while !rest.is_empty() {
+            let length = cuts.next().map_or(rest.len(), |cut| usize::from(cut).min(rest.len()));
+            reader.push(&rest[..length]);
+            rest = &rest[length..];
+            while let Some(frame) = reader.next_frame().expect("whole frames") {
+                got.push(frame);
+            }
+        }
+        got == sent
+    }
+
+    fn a_truncated_frame_is_no_frame(sequence: u64, bytes: Vec<u8>, length: usize) -> bool {
+        let stream = encode(&frames(sequence, &bytes)[..1]);
+        let mut reader = FrameReader::default();
+        reader.push(&stream[..length % stream.len()]);
+        matches!(reader.next_frame(), Ok(None))
+    }
+
+    fn flipped_bits_do_not_panic(sequence: u64, bytes: Vec<u8>, flips: Vec<(usize, u8)>) -> bool {
+        let mut stream = encode(&frames(sequence, &bytes));
+        for (place, bit) in flips {
+            let place = place % stream.len();
+            stream[place] ^= 1 << (bit % 8);
+        }
+        let mut reader = FrameReader::default();
+        reader.push(&stream);
+        while let Ok(Some(_)) = reader.next_frame() {}
+        true
+    }
+
+    fn garbage_does_not_panic(bytes: Vec<u8>) -> bool {
+        let mut reader = FrameReader::default();
+        reader.push(&bytes);
+        while let Ok(Some(_)) = reader.next_frame() {}
+        let mut parser = SseParser::default();
+        parser.push(&bytes);
+        while let Ok(Some(_)) = parser.next_event() {}
+        true
+    }
+
+    fn events_survive_any_cutting(parts: Vec<Vec<u8>>, cut: usize) -> bool {
+        let (mut sent, mut stream, mut offset) = (Vec::new(), Vec::new(), 0);
+        for part in parts.iter().filter(|part| !part.is_empty()) {
+            offset += part.len() as u64;
+            sent.push(SseEvent { offset, kind: SseKind::Part(ByteChunk::from(part.as_slice())) });
+        }
+        sent.push(SseEvent { offset, kind: SseKind::End });
+        sent.iter().for_each(|event| event.encode(&mut stream));
+        let (mut parser, mut got) = (SseParser::default(), Vec::new());
+        let (head, tail) = stream.split_at(cut % stream.len());
+        for bytes in [head, tail] {
+            parser.push(bytes);
+            while let Some(event) = parser.next_event().expect("whole events") {
+                got.push(event);
+            }
+        }
+        got == sent
+    }
+}
+
+#[test]
+fn a_length_beyond_the_limit_is_refused_before_it_is_read() {
+    let mut reader = FrameReader::default();
+    reader.push(&u32::MAX.to_le_bytes());
+    assert!(reader.next_frame().is_err());
+}
