feat(kwg-flow, kwg-platform): idempotency keys bound to tickets by rows of the table service

One mechanism: a key is a name for a ticket. Many keys are bound in one write; a lost answer is settled by reading; an outage rejects keyed requests and leaves those with tickets alone.

--- a/kwg-flow/src/desk.rs
+++ b/kwg-flow/src/desk.rs
@@ -2,12 +2,14 @@
 
 mod drain_desk;
 mod home_desk;
+mod key_desk;
 mod mint_desk;
 mod search_desk;
 mod timer_queue;
 
 pub(crate) use drain_desk::{DrainDesk, DrainStep};
 pub(crate) use home_desk::{HomeDesk, HomeWait};
-pub(crate) use mint_desk::MintDesk;
+pub(crate) use key_desk::KeyDesk;
+pub(crate) use mint_desk::{MintDesk, MintPurpose};
 pub(crate) use search_desk::{SearchDesk, SearchStep, TargetSearch};
 pub(crate) use timer_queue::{TimerKey, TimerQueue};
--- a/kwg-flow/src/desk/mint_desk.rs
+++ b/kwg-flow/src/desk/mint_desk.rs
@@ -6,10 +6,19 @@
 use crate::filter::{FlowContext, FlowPipe};
 use crate::{CallerKey, TrafficMessage};
 
-/// Callers that wait for tickets minted in another failure domain.
+/// Who waits for tickets minted in another failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MintPurpose {
+    /// A caller that asked for tickets.
+    Caller(CallerKey),
+    /// A parked submission with an idempotency key.
+    Keyed(u64),
+}
+
+/// What waits for tickets minted in another failure domain.
 #[derive(Debug, Default)]
 pub(crate) struct MintDesk {
-    waits: BTreeMap<u64, CallerKey>,
+    waits: BTreeMap<u64, MintPurpose>,
     next_request: u64,
 }
 
@@ -19,7 +28,7 @@
     pub(crate) fn ask(
         &mut self,
         context: &FlowContext<'_>,
-        caller: CallerKey,
+        purpose: MintPurpose,
         account: AccountName,
         count: u16,
         pipe: &mut FlowPipe<'_>,
@@ -39,11 +48,11 @@
         let home = peer_core(choice[index], identity.address.shard);
         pipe.send(&home, TrafficMessage::Mint { request, account, count });
         pipe.timers.set(context.now + context.options.home_timeout, TimerKey::Mint(request));
-        self.waits.insert(request, caller);
+        self.waits.insert(request, purpose);
         true
     }
 
-    pub(crate) fn take(&mut self, request: u64) -> Option<CallerKey> {
+    pub(crate) fn take(&mut self, request: u64) -> Option<MintPurpose> {
         self.waits.remove(&request)
     }
 
--- a/kwg-flow/src/request/call_rejection.rs
+++ b/kwg-flow/src/request/call_rejection.rs
@@ -38,6 +38,12 @@
     /// The caller wants to read an answer that is not to be found from here.
     #[snafu(display("no answer for this ticket here; a resume token finds it elsewhere"))]
     NotHere,
+    /// The table service could not say which ticket the idempotency key is bound to.
+    #[snafu(display("the idempotency key cannot be bound: the table service does not answer"))]
+    StoreOutage,
+    /// The key is bound to a ticket that is not this account's or not of this fleet.
+    #[snafu(display("the idempotency key is bound to a ticket that cannot be read"))]
+    BadBinding,
     /// The resume token is for another ticket or account.
     #[snafu(display("the resume token does not match the ticket"))]
     TokenMismatch,
--- a/kwg-flow/src/traffic/traffic_core.rs
+++ b/kwg-flow/src/traffic/traffic_core.rs
@@ -12,7 +12,7 @@
     TrafficOptions, TrafficOutput,
 };
 use crate::answer::{AnswerRecord, ReaderAddress};
-use crate::desk::{DrainDesk, DrainStep, MintDesk, TimerKey, TimerQueue};
+use crate::desk::{DrainDesk, DrainStep, KeyDesk, MintDesk, MintPurpose, TimerKey, TimerQueue};
 use crate::filter::{AdmitFilter, FlowContext, FlowPipe};
 use crate::{CallRejection, RequestFlow};
 
@@ -42,6 +42,7 @@
     fleet: Arc<FleetSnapshot>,
     pipeline: TrafficPipeline,
     mints: MintDesk,
+    keys: KeyDesk,
     drain: DrainDesk,
     callers: HashMap<CallerKey, TicketKey>,
     timers: TimerQueue,
@@ -68,6 +69,7 @@
         Self {
             pipeline: TrafficPipeline::new(&identity, &options, seed),
             mints: MintDesk::default(),
+            keys: KeyDesk::default(),
             drain: DrainDesk::default(),
             callers: HashMap::new(),
             timers: TimerQueue::default(),
@@ -88,6 +90,7 @@
             TrafficInput::CallerGone { caller } => self.on_caller_gone(now, caller),
             TrafficInput::Peer { from, message } => self.on_peer(now, from, message),
             TrafficInput::Target { key, event } => self.on_target(now, &key, event),
+            TrafficInput::KeyBound { request, ticket } => self.on_key_bound(now, request, ticket),
             TrafficInput::Fleet(fleet) => self.on_fleet(now, fleet),
             TrafficInput::Drain => self.drain.begin(),
             TrafficInput::Tick => {}
@@ -126,6 +129,9 @@
     }
 
     fn on_submit(&mut self, now: MonoTime, caller: CallerKey, mut submission: CallSubmission) {
+        if submission.ticket.is_none() && submission.idempotency_key.is_some() {
+            return self.on_keyed(now, caller, submission);
+        }
         let ticket = match self.ticket_for(now, &mut submission) {
             Ok(ticket) => ticket,
             Err(rejection) => return self.reply(caller, CallerReply::Rejected(rejection)),
@@ -167,6 +173,64 @@
         self.pipeline.enqueue(&context, flow, &mut pipe);
     }
 
+    /// Mints a ticket for a submission that comes with a key, and asks to bind the key to it.
+    fn on_keyed(&mut self, now: MonoTime, caller: CallerKey, submission: CallSubmission) {
+        if self.drain.is_draining() {
+            let rejection = CallRejection::ShuttingDown;
+            return self.reply(caller, CallerReply::Rejected(rejection));
+        }
+        let (account, elsewhere) = (submission.account.clone(), submission.non_idempotent);
+        let request = self.keys.park(caller, submission);
+        if elsewhere {
+            lend!(self, now => context, pipe);
+            let purpose = MintPurpose::Keyed(request);
+            if !self.mints.ask(&context, purpose, account, 1, &mut pipe) {
+                self.reject_keyed(request, CallRejection::NoOtherDomain);
+            }
+            return;
+        }
+        match self.pipeline.claim.mint(now, &account, 1) {
+            Some(Ok(tickets)) => self.bind_key(request, tickets),
+            Some(Err(error)) => self.reject_keyed(request, CallRejection::ticket_limit(&error)),
+            None => self.reject_keyed(request, CallRejection::ShuttingDown),
+        }
+    }
+
+    fn bind_key(&mut self, request: u64, tickets: Vec<DispatchTicket>) {
+        match tickets.into_iter().next() {
+            Some(ticket) => self.outputs.extend(self.keys.bind(request, ticket)),
+            None => self.reject_keyed(request, CallRejection::NoOtherDomain),
+        }
+    }
+
+    fn reject_keyed(&mut self, request: u64, rejection: CallRejection) {
+        if let Some(wait) = self.keys.take(request) {
+            self.reply(wait.caller, CallerReply::Rejected(rejection));
+        }
+    }
+
+    /// Goes on under the ticket that the key is bound to; from here it is a ticket like any.
+    fn on_key_bound(&mut self, now: MonoTime, request: u64, ticket: Option<DispatchTicket>) {
+        let Some(ticket) = ticket else {
+            return self.reject_keyed(request, CallRejection::StoreOutage);
+        };
+        let Some(mut wait) = self.keys.take(request) else { return };
+        if ticket.account != wait.submission.account {
+            let rejection = CallRejection::BadBinding;
+            return self.reply(wait.caller, CallerReply::Rejected(rejection));
+        }
+        wait.submission.ticket = Some(ticket);
+        self.on_submit(now, wait.caller, wait.submission);
+    }
+
+    /// Passes tickets on to whoever waited for them; none if the other router refused.
+    fn on_minted(&mut self, purpose: MintPurpose, tickets: Vec<DispatchTicket>) {
+        match purpose {
+            MintPurpose::Caller(caller) => self.reply(caller, tickets_reply(tickets)),
+            MintPurpose::Keyed(request) => self.bind_key(request, tickets),
+        }
+    }
+
     /// The caller's ticket, or one minted for it.
     fn ticket_for(
         &mut self,
@@ -202,7 +266,8 @@
     ) {
         if elsewhere {
             lend!(self, now => context, pipe);
-            if !self.mints.ask(&context, caller, account, count, &mut pipe) {
+            let purpose = MintPurpose::Caller(caller);
+            if !self.mints.ask(&context, purpose, account, count, &mut pipe) {
                 self.reply(caller, CallerReply::Rejected(CallRejection::NoOtherDomain));
             }
             return;
@@ -251,8 +316,8 @@
                 pipe.send(&from, TrafficMessage::MintReply { request, tickets });
             }
             TrafficMessage::MintReply { request, tickets } => {
-                if let Some(caller) = self.mints.take(request) {
-                    self.reply(caller, tickets_reply(tickets));
+                if let Some(purpose) = self.mints.take(request) {
+                    self.on_minted(purpose, tickets);
                 }
             }
             TrafficMessage::Attach { key, account, offset } => {
@@ -306,8 +371,8 @@
                     self.pipeline.on_burn_step(&context, step, &mut pipe);
                 }
                 TimerKey::Mint(request) => {
-                    if let Some(caller) = self.mints.take(request) {
-                        self.reply(caller, CallerReply::Rejected(CallRejection::NoOtherDomain));
+                    if let Some(purpose) = self.mints.take(request) {
+                        self.on_minted(purpose, Vec::new());
                     }
                 }
                 TimerKey::Join(key) => {
@@ -327,7 +392,7 @@
     }
 
     fn finish_drain(&mut self, now: MonoTime) {
-        let idle = self.pipeline.is_idle() && self.mints.is_empty();
+        let idle = self.pipeline.is_idle() && self.mints.is_empty() && self.keys.is_empty();
         if !self.drain.is_draining() || !idle {
             return;
         }
--- a/kwg-flow/src/traffic/traffic_input.rs
+++ b/kwg-flow/src/traffic/traffic_input.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use kwg_model::{AccountName, CallSubmission, FleetSnapshot, HomeAddress, TicketKey};
+use kwg_model::{
+    AccountName, CallSubmission, DispatchTicket, FleetSnapshot, HomeAddress, TicketKey,
+};
 
 use super::{TargetEvent, TrafficMessage};
 
@@ -48,6 +50,14 @@
         /// The report.
         event: TargetEvent,
     },
+    /// The ticket that an idempotency key is bound to; `None` if the table service did not
+    /// answer.
+    KeyBound {
+        /// The request that asked.
+        request: u64,
+        /// The ticket of whoever bound the key first.
+        ticket: Option<DispatchTicket>,
+    },
     /// The control core published a snapshot.
     Fleet(Arc<FleetSnapshot>),
     /// Begin a graceful shutdown: end what was accepted, accept no more.
--- a/kwg-flow/src/traffic/traffic_output.rs
+++ b/kwg-flow/src/traffic/traffic_output.rs
@@ -1,4 +1,4 @@
-use kwg_model::{HomeAddress, PoolName, TargetName, TicketKey};
+use kwg_model::{DispatchTicket, HomeAddress, PoolName, TargetName, TicketKey};
 
 use super::{CallerKey, CallerReply, FlowEvent, ResumeOrder, TrafficMessage};
 use crate::DispatchOrder;
@@ -33,6 +33,15 @@
         /// The target.
         target: TargetName,
     },
+    /// Bind an idempotency key to this ticket, unless it is bound already.
+    BindKey {
+        /// Names the answer.
+        request: u64,
+        /// The caller's key.
+        key: String,
+        /// The ticket to bind it to; its account is the key's.
+        ticket: DispatchTicket,
+    },
     /// Note an event.
     Event(FlowEvent),
     /// This core carries on with the ledger of another one; the fleet is to be told.
--- a/kwg-flow/tests/at_most_once.rs
+++ b/kwg-flow/tests/at_most_once.rs
@@ -298,3 +298,42 @@
     fleet.submit("r3", with_ticket(&open));
     assert_eq!(fleet.dispatches(&open.key), 1, "the heir {} grants it", heir.0);
 }
+
+fn with_key(key: &str) -> CallSubmission {
+    CallSubmission { idempotency_key: Some(key.to_owned()), ..submission("patches") }
+}
+
+#[test]
+fn a_key_is_a_name_for_one_ticket_at_every_router() {
+    let mut fleet = SimFleet::new(3);
+    let first = fleet.submit("r1", with_key("order 7"));
+    let second = fleet.submit("r2", with_key("order 7"));
+    let key = fleet.bindings["order 7"].key.clone();
+    assert_eq!(fleet.dispatches(&key), 1);
+    fleet.answer("r1", &key);
+    assert!(fleet.has_whole_answer("r1", first) && fleet.has_whole_answer("r2", second));
+    let all: usize = fleet.cores.values().map(|sim| sim.dispatched.len()).sum();
+    assert_eq!(all, 1);
+}
+
+#[test]
+fn the_key_of_a_non_idempotent_request_is_bound_to_a_ticket_of_another_domain() {
+    let mut fleet = SimFleet::new(2);
+    let request = CallSubmission { non_idempotent: true, ..with_key("booking 7") };
+    fleet.submit("r1", request);
+    fleet.deliver();
+    assert_eq!(fleet.bindings["booking 7"].key.home.instance.as_str(), "r2");
+    assert_eq!(fleet.cores["r1"].dispatched.len(), 1);
+}
+
+#[test]
+fn in_an_outage_a_keyed_request_is_rejected_and_one_with_a_ticket_is_not() {
+    let mut fleet = SimFleet::new(2);
+    fleet.store_is_down = true;
+    let caller = fleet.submit("r1", with_key("order 7"));
+    let rejected = CallerReply::Rejected(CallRejection::StoreOutage);
+    assert_eq!(fleet.replies("r1", caller), [rejected]);
+    let ticket = fleet.ticket("r1");
+    fleet.submit("r1", with_ticket(&ticket));
+    assert_eq!(fleet.dispatches(&ticket.key), 1);
+}
--- a/kwg-flow/tests/support/mod.rs
+++ b/kwg-flow/tests/support/mod.rs
@@ -30,6 +30,10 @@
     /// Routers that messages do not reach.
     pub cut_off: BTreeSet<String>,
     pub next_caller: u64,
+    /// What the table service binds keys to.
+    pub bindings: BTreeMap<String, DispatchTicket>,
+    pub store_is_down: bool,
+    bound: Vec<(String, u64, Option<DispatchTicket>)>,
 }
 
 pub struct SimCore {
@@ -104,6 +108,7 @@
         account: account(),
         route: RouteName::new(route).expect("valid"),
         ticket: None,
+        idempotency_key: None,
         resume: None,
         offset: 0,
         tier: None,
@@ -129,6 +134,9 @@
             messages: VecDeque::new(),
             cut_off: BTreeSet::new(),
             next_caller: 0,
+            bindings: BTreeMap::new(),
+            store_is_down: false,
+            bound: Vec::new(),
         };
         for number in 1..=routers {
             fleet.add(&format!("r{number}"), 1, options);
@@ -208,14 +216,28 @@
                 TrafficOutput::Resume(order) => sim.resumed.push(order),
                 TrafficOutput::Cancel { key, .. } => sim.cancelled.push(key),
                 TrafficOutput::Event(event) => sim.events.push(event),
+                TrafficOutput::BindKey { request, key, ticket } => {
+                    // The first ticket that a key is bound to stays.
+                    let bound = self.bindings.entry(key).or_insert(ticket).clone();
+                    let ticket = (!self.store_is_down).then_some(bound);
+                    self.bound.push((name.to_owned(), request, ticket));
+                }
                 TrafficOutput::Inherited { home } => sim.inherited.push(home),
                 TrafficOutput::Drained { handed_over } => sim.drained = Some(handed_over),
             }
         }
     }
 
-    /// Delivers messages until none is left.
+    /// Delivers messages and answers of the table service until none is left.
     pub fn deliver(&mut self) {
+        self.deliver_messages();
+        while let Some((name, request, ticket)) = self.bound.pop() {
+            self.input(&name, TrafficInput::KeyBound { request, ticket });
+            self.deliver_messages();
+        }
+    }
+
+    fn deliver_messages(&mut self) {
         while let Some((from, to, message)) = self.messages.pop_front() {
             let (sender, name) = (from.instance.to_string(), to.instance.to_string());
             let reaches = !self.cut_off.contains(&name) && !self.cut_off.contains(&sender);
--- a/kwg-front/src/front_error.rs
+++ b/kwg-front/src/front_error.rs
@@ -85,9 +85,10 @@
                 CallRejection::TooLarge { .. } => StatusCode::PayloadTooLarge,
                 CallRejection::TicketLimit { .. } => StatusCode::TooManyRequests,
                 CallRejection::TokenMismatch => StatusCode::Forbidden,
-                CallRejection::NoOtherDomain | CallRejection::ShuttingDown => {
-                    StatusCode::ServiceUnavailable
-                }
+                CallRejection::NoOtherDomain
+                | CallRejection::ShuttingDown
+                | CallRejection::StoreOutage => StatusCode::ServiceUnavailable,
+                CallRejection::BadBinding => StatusCode::Forbidden,
             },
         }
     }
@@ -116,6 +117,8 @@
                 CallRejection::TokenMismatch => "token-mismatch",
                 CallRejection::NoOtherDomain => "no-other-domain",
                 CallRejection::ShuttingDown => "shutting-down",
+                CallRejection::StoreOutage => "store-outage",
+                CallRejection::BadBinding => "bad-binding",
             },
         }
     }
--- a/kwg-front/src/front_headers.rs
+++ b/kwg-front/src/front_headers.rs
@@ -5,6 +5,8 @@
 impl FrontHeaders {
     /// The ticket of the request, both ways.
     pub const TICKET: &str = "kwg-ticket";
+    /// The caller's own name for the request, in place of a ticket.
+    pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
     /// The token that resumes an answer, both ways.
     pub const RESUME: &str = "kwg-resume";
     /// The offset behind the last byte that the caller has.
--- a/kwg-front/src/submission_decoder.rs
+++ b/kwg-front/src/submission_decoder.rs
@@ -54,6 +54,7 @@
         account,
         route,
         ticket: ticket.transpose().context(BadTicketSnafu)?,
+        idempotency_key: idempotency_key(request)?,
         resume: resume.transpose()?,
         offset: number(request, FrontHeaders::LAST_EVENT_ID, u64::MAX)?.unwrap_or(0),
         tier: tier.and_then(|tier| ServiceTier::new(u8::try_from(tier).ok()?)),
@@ -71,6 +72,15 @@
     request.header(name).map(|values| values.last().as_str())
 }
 
+fn idempotency_key(request: &Request) -> Result<Option<String>, FrontError> {
+    const KEY_MAX_BYTES: usize = 256;
+    let name = FrontHeaders::IDEMPOTENCY_KEY;
+    let Some(key) = header(request, name) else { return Ok(None) };
+    let reason = format!("a key has 1 to {KEY_MAX_BYTES} bytes");
+    let is_valid = !key.is_empty() && key.len() <= KEY_MAX_BYTES;
+    is_valid.then(|| Some(key.to_owned())).context(BadHeaderSnafu { header: name, reason })
+}
+
 fn number(request: &Request, name: &'static str, most: u64) -> Result<Option<u64>, FrontError> {
     let Some(text) = header(request, name) else { return Ok(None) };
     let number = text.parse().ok().filter(|number| *number <= most);
--- a/kwg-model/src/call_outcome.rs
+++ b/kwg-model/src/call_outcome.rs
@@ -28,8 +28,6 @@
     ClaimTimeout,
     /// The request crashed every target that ran it.
     Poisoned,
-    /// The table service could not record the idempotency key.
-    StoreOutage,
 }
 
 /// Why the outcome of a request is not known.
@@ -55,7 +53,6 @@
             Self::Draining => "draining",
             Self::ClaimTimeout => "claim-timeout",
             Self::Poisoned => "poisoned",
-            Self::StoreOutage => "store-outage",
         }
     }
 }
--- a/kwg-model/src/call_submission.rs
+++ b/kwg-model/src/call_submission.rs
@@ -11,6 +11,8 @@
     pub route: RouteName,
     /// The caller's ticket; without one the router mints its own.
     pub ticket: Option<DispatchTicket>,
+    /// The caller's own name for the request, bound to one ticket by the table service.
+    pub idempotency_key: Option<String>,
     /// Where an earlier submission of the same ticket was answered from.
     pub resume: Option<ResumeToken>,
     /// The first byte of the answer that the caller still lacks.
--- a/kwg-platform/src/lib.rs
+++ b/kwg-platform/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod config_store;
+mod key_store;
 mod list_client;
 mod object_client;
 mod platform_error;
@@ -11,6 +12,7 @@
 mod table_row;
 
 pub use config_store::{ConfigStore, EditOutcome, EditRequest, TableReading};
+pub use key_store::KeyStore;
 pub use list_client::{InstanceList, ListClient};
 pub use object_client::ObjectClient;
 pub use platform_error::PlatformError;
--- a/kwg-platform/src/platform_error.rs
+++ b/kwg-platform/src/platform_error.rs
@@ -28,6 +28,12 @@
         /// The cause.
         source: serde_json::Error,
     },
+    /// Others changed the rows at each try.
+    #[snafu(display("the rows of table '{table}' were changed by others at each try"))]
+    Contended {
+        /// The table.
+        table: &'static str,
+    },
     /// A stored row is not what this project writes.
     #[snafu(display("row '{key}' does not decode: {source}"))]
     Row {
--- a/kwg-platform/src/table_client.rs
+++ b/kwg-platform/src/table_client.rs
@@ -37,6 +37,19 @@
         serde_json::from_slice(&reply.body).context(DecodeSnafu { path })
     }
 
+    /// Reads the rows of a table that have these keys, at one moment.
+    ///
+    /// # Errors
+    /// [`PlatformError`] without a whole reply.
+    pub async fn rows_of(&self, table: &str, keys: &[String]) -> Result<RowList, PlatformError> {
+        let path = format!("/v1/get?table={table}");
+        let mut request = self.0.request(Method::Post, &path).context(CallSnafu)?;
+        request.set_body(serde_json::to_vec(keys).context(DecodeSnafu { path: &path })?);
+        let reply = self.0.call(request).await.context(CallSnafu)?;
+        ensure!(reply.status == StatusCode::Ok, StatusSnafu { status: reply.status, path });
+        serde_json::from_slice(&reply.body).context(DecodeSnafu { path })
+    }
+
     /// Commits a transaction.
     ///
     /// # Errors
--- a/kwg-platform/tests/config_store.rs
+++ b/kwg-platform/tests/config_store.rs
@@ -1,50 +1,13 @@
 //! Edits of the tables against the stand-in platform: races, lost answers, outages.
 
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
+mod support;
+
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
-use async_io::block_on;
-use http_types::Method;
 use kwg_clock::ClockHandle;
-use kwg_http::CallClient;
 use kwg_model::{PoolName, RouteName, RouteRow, ServiceTier, TableSet};
-use kwg_platform::{ConfigStore, EditOutcome, EditRequest, TableClient};
-use kwg_standin::PlatformStandin;
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("bound")
-}
-
-struct Platform {
-    client: CallClient,
-    store: ConfigStore,
-}
-
-impl Platform {
-    async fn fault(&self, query: &str) {
-        let request = self.client.request(Method::Post, format!("/fault?{query}"));
-        self.client.call(request.expect("a valid path")).await.expect("the stand-in answers");
-    }
-}
-
-/// Runs a test against a platform of its own.
-fn with_platform(test: impl AsyncFnOnce(Platform)) {
-    let executor = Rc::new(LocalExecutor::new());
-    let address = free_address();
-    let clock = ClockHandle::system();
-    let client = CallClient::new(address, Duration::from_millis(500), clock.clone());
-    let store = ConfigStore::new(TableClient::new(client.clone()), clock);
-    executor.spawn(PlatformStandin::run(address, Rc::clone(&executor))).detach();
-    block_on(executor.run(async {
-        while store.read().await.is_err() {
-            ClockHandle::system().sleep(Duration::from_millis(5)).await;
-        }
-        test(Platform { client, store }).await;
-    }));
-}
+use kwg_platform::{EditOutcome, EditRequest};
+use support::with_platform;
 
 fn request(id: &str) -> EditRequest {
     EditRequest { change_id: id.to_owned(), editor: format!("editor of {id}"), edited_at_ms: 7 }
--- /dev/null
+++ b/kwg-platform/tests/support/mod.rs
@@ -0,0 +1,52 @@
+//! A stand-in platform for one test.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::block_on;
+use http_types::Method;
+use kwg_clock::ClockHandle;
+use kwg_http::CallClient;
+use kwg_platform::{ConfigStore, KeyStore, TableClient};
+use kwg_standin::PlatformStandin;
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("bound")
+}
+
+/// A platform of its own for one test.
+pub struct Platform {
+    client: CallClient,
+    pub store: ConfigStore,
+    pub keys: KeyStore,
+}
+
+impl Platform {
+    pub async fn fault(&self, query: &str) {
+        let request = self.client.request(Method::Post, format!("/fault?{query}"));
+        self.client.call(request.expect("a valid path")).await.expect("the stand-in answers");
+    }
+}
+
+/// Runs a test against a platform of its own.
+pub fn with_platform(test: impl AsyncFnOnce(Platform)) {
+    let executor = Rc::new(LocalExecutor::new());
+    let address = free_address();
+    let clock = ClockHandle::system();
+    let client = CallClient::new(address, Duration::from_millis(500), clock.clone());
+    let tables = TableClient::new(client.clone());
+    let keys = KeyStore::new(tables.clone());
+    let store = ConfigStore::new(tables, clock);
+    executor.spawn(PlatformStandin::run(address, Rc::clone(&executor))).detach();
+    block_on(executor.run(async {
+        while store.read().await.is_err() {
+            ClockHandle::system().sleep(Duration::from_millis(5)).await;
+        }
+        test(Platform { client, store, keys }).await;
+    }));
+}
--- a/kwg-router/src/control_thread.rs
+++ b/kwg-router/src/control_thread.rs
@@ -15,11 +15,12 @@
 use kwg_front::AdminServer;
 use kwg_http::CallClient;
 use kwg_peer::LinkCommand;
-use kwg_platform::{ConfigStore, ListClient, ObjectClient, TableClient};
+use kwg_platform::{ConfigStore, KeyStore, ListClient, ObjectClient, TableClient};
 use kwg_telemetry::EventLine;
 use kwg_wire::PeerBody;
 
 use crate::event_archive::EventArchive;
+use crate::key_binder::{BindRequest, KeyBinder, sweep_keys};
 use crate::router_pipes::RouterPipes;
 use crate::status_pages::StatusPages;
 
@@ -30,6 +31,7 @@
     executor: Rc<LocalExecutor<'static>>,
     config: ConfigStore,
     list: ListClient,
+    keys: KeyStore,
 }
 
 impl ControlThread {
@@ -50,6 +52,7 @@
         Self {
             core: Rc::new(RefCell::new(ControlCore::new(own, settings.control))),
             executor: Rc::new(LocalExecutor::new()),
+            keys: KeyStore::new(tables.clone()),
             config: ConfigStore::new(tables, pipes.clock.clone()),
             list: ListClient::new(client(settings.platform.instances)),
             pipes,
@@ -57,7 +60,15 @@
     }
 
     /// Runs until the pipe of inputs is closed, then archives the last events.
-    pub(crate) fn run(self, inputs: Receiver<ControlInput>, admin: Async<TcpListener>) {
+    pub(crate) fn run(
+        self,
+        inputs: Receiver<ControlInput>,
+        keys: Receiver<BindRequest>,
+        admin: Async<TcpListener>,
+    ) {
+        let binder = KeyBinder { store: self.keys.clone(), pipes: self.pipes.clone() };
+        self.executor.spawn(binder.run(keys)).detach();
+        self.executor.spawn(sweep_keys(self.keys.clone(), self.pipes.clone())).detach();
         let pages = StatusPages { core: Rc::clone(&self.core), pipes: self.pipes.clone() };
         let server = AdminServer::new(pages, self.pipes.clock.clone());
         self.executor.spawn(server.run(admin, Rc::clone(&self.executor))).detach();
--- a/kwg-router/src/lib.rs
+++ b/kwg-router/src/lib.rs
@@ -7,6 +7,7 @@
 mod event_archive;
 mod fleet_cell;
 mod inbound_sink;
+mod key_binder;
 mod link_thread;
 mod router_error;
 mod router_pipes;
--- a/kwg-router/src/router_pipes.rs
+++ b/kwg-router/src/router_pipes.rs
@@ -10,11 +10,14 @@
 use kwg_telemetry::{EventRing, MetricsBook};
 
 use crate::fleet_cell::FleetCell;
+use crate::key_binder::BindRequest;
 
 /// Inputs that wait for a traffic core.
 const TRAFFIC_BACKLOG: usize = 8_192;
 /// Inputs that wait for the control core.
 const CONTROL_BACKLOG: usize = 4_096;
+/// Idempotency keys that wait to be bound.
+const KEY_BACKLOG: usize = 4_096;
 /// Commands that wait for the link.
 const LINK_BACKLOG: usize = 8_192;
 
@@ -32,6 +35,7 @@
     pub(crate) control: Sender<ControlInput>,
     pub(crate) link: Sender<LinkCommand>,
     pub(crate) traffic: Arc<[Sender<TrafficInput>]>,
+    pub(crate) keys: Sender<BindRequest>,
     pub(crate) drained: Sender<bool>,
 }
 
@@ -41,6 +45,7 @@
     pub(crate) control: Receiver<ControlInput>,
     pub(crate) link: Receiver<LinkCommand>,
     pub(crate) traffic: Vec<Receiver<TrafficInput>>,
+    pub(crate) keys: Receiver<BindRequest>,
     pub(crate) drained: Receiver<bool>,
 }
 
@@ -55,6 +60,7 @@
         let (control, control_end) = bounded(CONTROL_BACKLOG);
         let (link, link_end) = bounded(LINK_BACKLOG);
         let (drained, drained_end) = bounded(threads);
+        let (keys, keys_end) = bounded(KEY_BACKLOG);
         let pipes = (0..threads).map(|_| bounded(TRAFFIC_BACKLOG));
         let (traffic, traffic_ends): (Vec<_>, Vec<_>) = pipes.unzip();
         let pipes = Self {
@@ -69,12 +75,14 @@
             control,
             link,
             traffic: traffic.into(),
+            keys,
             drained,
         };
         let ends = PipeEnds {
             control: control_end,
             link: link_end,
             traffic: traffic_ends,
+            keys: keys_end,
             drained: drained_end,
         };
         (pipes, ends)
--- a/kwg-router/src/router_process.rs
+++ b/kwg-router/src/router_process.rs
@@ -45,7 +45,7 @@
         let front = listen(settings.front, "callers")?;
         let admin = listen(settings.admin, "operators")?;
         let (pipes, ends) = RouterPipes::new(settings, incarnation, clock, events);
-        let PipeEnds { control, link, traffic, drained } = ends;
+        let PipeEnds { control, link, traffic, keys, drained } = ends;
         let link = LinkThread::bind(&pipes, link)?;
         let signals = Signals::new([Signal::Term, Signal::Int]).context(SignalsSnafu)?;
         let admin = Async::new(admin).context(listen_error(&pipes, "operators"))?;
@@ -57,7 +57,7 @@
         pipes.events.note(started_line(&pipes));
         let link = start("kwg-link", move || link.run())?;
         let control_pipes = pipes.clone();
-        let control_loop = move || ControlThread::new(control_pipes).run(control, admin);
+        let control_loop = move || ControlThread::new(control_pipes).run(control, keys, admin);
         let control = start("kwg-control", control_loop)?;
         for (shard, (inputs, listener)) in (0..).zip(traffic.into_iter().zip(fronts)) {
             let pipes = pipes.clone();
--- a/kwg-router/src/traffic_thread.rs
+++ b/kwg-router/src/traffic_thread.rs
@@ -18,6 +18,7 @@
 use kwg_telemetry::{EventLine, RouterGauges};
 use kwg_wire::PeerBody;
 
+use crate::key_binder::BindRequest;
 use crate::router_pipes::RouterPipes;
 use crate::wake_timer::WakeTimer;
 
@@ -143,6 +144,15 @@
             TrafficOutput::Dispatch(order) => self.dispatch(*order),
             TrafficOutput::Resume(order) => self.resume(order),
             TrafficOutput::Cancel { key, pool, target } => self.cancel(key, &pool, &target),
+            TrafficOutput::BindKey { request, key, ticket } => {
+                let shard = self.address.shard;
+                let bind = BindRequest { shard, request, key, ticket };
+                if self.pipes.keys.try_send(bind).is_err() {
+                    self.pipes.metrics.note_rejected("binder-busy");
+                    let input = TrafficInput::KeyBound { request, ticket: None };
+                    drop(self.own.try_send(input));
+                }
+            }
             TrafficOutput::Event(event) => {
                 self.pipes.metrics.note_flow(&event);
                 self.pipes.events.note(EventLine::from(&event));
--- a/kwg-settings/src/router_settings.rs
+++ b/kwg-settings/src/router_settings.rs
@@ -46,6 +46,8 @@
     pub drain_notice: Duration,
     /// How long it waits then for what it accepted.
     pub drain_timeout: Duration,
+    /// How long an idempotency key is remembered.
+    pub key_life: Duration,
     /// How often events go to the object store.
     pub archive_interval: Duration,
     /// Where logs go.
@@ -97,6 +99,7 @@
     pub fn from_ini(ini: &CheckedIni, folder: &Path) -> Result<Self, IniError> {
         let router = ini.section("router");
         let timing = ini.section("timing");
+        let limits = ini.section("limits");
         let settings = Self {
             name: router.value("name", None)?,
             domain: router.value("domain", None)?,
@@ -107,11 +110,12 @@
             peer: read_peer(ini.section("peer"), folder)?,
             seal_key: read_seal_key(ini.section("fleet"))?,
             platform: read_platform(ini.section("platform"))?,
-            limits: read_limits(ini.section("limits"))?,
-            traffic: read_traffic(ini.section("limits"), timing)?,
+            limits: read_limits(limits)?,
+            traffic: read_traffic(limits, timing)?,
             control: read_control(timing)?,
             drain_notice: timing.span("drain_notice_ms", 0..=600_000, Duration::from_secs(2))?,
             drain_timeout: timing.span("drain_timeout_s", 1..=86_400, Duration::from_secs(300))?,
+            key_life: limits.span("key_life_s", 900..=2_592_000, Duration::from_secs(86_400))?,
             archive_interval: timing.span("archive_s", 1..=3_600, Duration::from_secs(5))?,
             log: read_log(ini.section("log"), folder)?,
             accounts: read_accounts(ini)?,
--- a/kwg-standin/src/plain_service.rs
+++ b/kwg-standin/src/plain_service.rs
@@ -43,6 +43,9 @@
 
     async fn call(&self, mut request: Request) -> Option<Response> {
         let ticket = request.header(TargetHeaders::TICKET)?.as_str().to_owned();
+        let stamp = request.header(TargetHeaders::STAMP);
+        let stamp = stamp.and_then(|stamp| stamp.as_str().parse().ok());
+        self.events.clock().observe(stamp.unwrap_or(0));
         let body = request.body_bytes().await.ok()?;
         self.events.note(EventLine::new("service-call").field("ticket", &ticket));
         *self.calls.borrow_mut().entry(ticket).or_default() += 1;
--- a/kwg-standin/src/platform/platform_standin.rs
+++ b/kwg-standin/src/platform/platform_standin.rs
@@ -110,6 +110,13 @@
                 self.reads.set(self.reads.get() + 1);
                 Some(json_page(&self.tables.borrow().rows(&Self::query(&request, "table"))))
             }
+            (Method::Post, "/v1/get") => {
+                self.reads.set(self.reads.get() + 1);
+                let keys: Vec<String> =
+                    serde_json::from_slice(&request.body_bytes().await.ok()?).ok()?;
+                let table = Self::query(&request, "table");
+                Some(json_page(&self.tables.borrow().rows_of(&table, &keys)))
+            }
             (Method::Post, "/v1/txn") => self.commit(&mut request).await,
             (Method::Get, "/v1/instances") => Some(json_page(&self.list())),
             (Method::Get, "/v1/objects") => {
--- a/kwg-standin/src/platform/table_state.rs
+++ b/kwg-standin/src/platform/table_state.rs
@@ -22,6 +22,13 @@
         RowList { rows: rows.collect() }
     }
 
+    /// The rows of a table that have these keys.
+    pub(super) fn rows_of(&self, table: &str, keys: &[String]) -> RowList {
+        let mut list = self.rows(table);
+        list.rows.retain(|row| keys.contains(&row.key));
+        list
+    }
+
     /// Commits a transaction if all its conditions hold.
     pub(super) fn commit(&mut self, txn: TxnRequest) -> bool {
         let version = |table: &str, key: &str| {
