--- a/knapweedglade/src/command/tables.rs
+++ b/knapweedglade/src/command/tables.rs
@@ -6,7 +6,7 @@
 use http_types::{Method, StatusCode};
 use kwg_clock::ClockHandle;
 use kwg_http::CallClient;
-use kwg_model::{InstanceKind, TableSet};
+use kwg_model::{InstanceKind, PoolName, PoolRow, TableSet, VersionMove, VersionName};
 use kwg_platform::{ConfigStore, EditOutcome, EditRequest, ListClient, TableClient, TableReading};
 use kwg_settings::TableFiles;
 use kwg_telemetry::HybridClock;
@@ -27,11 +27,15 @@
 USAGE: knapweedglade tables show   --tables ADDRESS [--dir DIR]
        knapweedglade tables put    --tables ADDRESS --routes FILE --pools FILE
                                    [--editor NAME] [--base REVISION]
+       knapweedglade tables move   --tables ADDRESS --pool POOL --to VERSION --within-s N
+                                   [--editor NAME]
        knapweedglade tables status --tables ADDRESS --instances ADDRESS
 
   show     print both tables, or write DIR/routes.ini and DIR/pools.ini
   put      replace both tables; with --base only if that revision is still in place
-  status   the accepted revision, and what is in force on each router
+  move     move a pool to another version by a set time; it is taken back if it proves bad
+           or is not proved good by then
+  status   the moves, the accepted revision, and what is in force on each router
 
 EXIT CODES: 4 if somebody else's edit came first, 5 if the service did not answer
 ";
@@ -45,8 +49,9 @@
     match command.as_deref() {
         Some("show") => show(arguments),
         Some("put") => put(arguments),
+        Some("move") => start_move(arguments),
         Some("status") => status(arguments),
-        _ => usage("what about the tables? 'show', 'put' or 'status'"),
+        _ => usage("what about the tables? 'show', 'put', 'move' or 'status'"),
     }
 }
 
@@ -77,18 +82,59 @@
     let editor: Option<String> = arguments.optional("--editor")?;
     let base: Option<u64> = arguments.optional("--base")?;
     arguments.finish()?;
-    let tables = TableFiles::load(routes, pools).context(IniSnafu)?;
+    let mut tables = TableFiles::load(routes, pools).context(IniSnafu)?;
     let reading = read(&store)?;
+    // Moves are no part of the files; a pool that stays keeps its own.
+    for (name, pool) in &mut tables.pools {
+        let old = reading.tables.pools.get(name);
+        pool.version_move = old.and_then(|old| old.version_move.clone());
+    }
     if base.is_some_and(|base| base != reading.tables.revision) {
         return lost(&reading.tables);
     }
+    commit(&store, &reading, tables, editor)
+}
+
+fn start_move(arguments: &mut Arguments) -> Result<(), CommandError> {
+    let store = store(arguments.required("--tables")?);
+    let pool: PoolName = arguments.required("--pool")?;
+    let to: VersionName = arguments.required("--to")?;
+    let within_s: u64 = arguments.required("--within-s")?;
+    let editor: Option<String> = arguments.optional("--editor")?;
+    arguments.finish()?;
+    if within_s == 0 {
+        return usage("the set time is in the past: --within-s must be at least 1");
+    }
+    let reading = read(&store)?;
+    let mut tables = reading.tables.clone();
+    let Some(row) = tables.pools.get_mut(&pool) else {
+        return usage(format!("unknown pool '{pool}'"));
+    };
+    if row.version == to {
+        return usage(format!("pool '{pool}' serves version '{to}' already"));
+    }
+    if let Some(under_way) = row.version_move.as_ref().filter(|row| !row.has_ended()) {
+        return usage(format!("pool '{pool}' is being moved to '{}'", under_way.to));
+    }
+    let now = HybridClock::wall_millis();
+    row.version_move = Some(VersionMove::stage(to, now, now + within_s * 1_000));
+    commit(&store, &reading, tables, editor)
+}
+
+/// Commits an edit and says what became of it.
+fn commit(
+    store: &ConfigStore,
+    reading: &TableReading,
+    tables: TableSet,
+    editor: Option<String>,
+) -> Result<(), CommandError> {
     let editor = editor.or_else(|| std::env::var("USER").ok());
     let request = EditRequest {
         change_id: format!("{:016x}", random::<u64>()),
         editor: editor.unwrap_or_else(|| "unnamed".to_owned()),
         edited_at_ms: HybridClock::wall_millis(),
     };
-    let outcome = block_on(store.edit(&reading, tables, &request)).context(PlatformSnafu)?;
+    let outcome = block_on(store.edit(reading, tables, &request)).context(PlatformSnafu)?;
     match outcome {
         EditOutcome::Accepted { revision } => {
             println!("accepted as revision {revision}, change {}", request.change_id);
@@ -109,6 +155,11 @@
     arguments.finish()?;
     let tables = read(&store)?.tables;
     println!("accepted: revision {} by '{}' at {}", tables.revision, tables.editor, when(&tables));
+    for pool in tables.pools.values() {
+        if let Some(row) = &pool.version_move {
+            println!("{}", move_line(pool, row));
+        }
+    }
     let list = ListClient::new(client(instances));
     let rows = block_on(list.read()).context(PlatformSnafu)?.rows;
     for row in rows.iter().filter(|row| row.kind == InstanceKind::Router) {
@@ -124,6 +175,19 @@
     Ok(())
 }
 
+fn move_line(pool: &PoolRow, row: &VersionMove) -> String {
+    let date =
+        |millis: u64| humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_millis(millis));
+    let phase = format!("{:?}", row.phase).to_lowercase();
+    let since = date(row.phase_since_ms);
+    let (name, to, due) = (&pool.name, &row.to, date(row.due_ms));
+    let line = format!("move of pool '{name}' to '{to}': {phase} since {since}, due {due}");
+    match &row.verdict {
+        Some(verdict) => format!("{line}; {} ({})", verdict.reason, verdict.evidence),
+        None => line,
+    }
+}
+
 async fn read_status(admin: SocketAddr) -> Option<String> {
     let client = client(admin);
     let request = client.request(Method::Get, "/status").ok()?;
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -37,10 +37,12 @@
         let ready: Vec<&TargetRow> = serving.filter(|row| self.has_room(request, row)).collect();
         let first = pick(&ready, rng)?;
         let second = pick(&ready, rng)?;
-        let row = if self.expected(request, second) < self.expected(request, first) {
-            second
-        } else {
-            first
+        let filled = VersionSplit::filled_first(pool);
+        let filled = ready.iter().copied().find(|row| Some(&row.name) == filled);
+        let row = match filled {
+            Some(row) => row,
+            None if self.expected(request, second) < self.expected(request, first) => second,
+            None => first,
         };
         let permit = self.health(pool, &row.name).gauge.acquire(request.cost_tokens);
         Some(TargetChoice {
--- a/kwg-decide/src/version/version_split.rs
+++ b/kwg-decide/src/version/version_split.rs
@@ -1,4 +1,4 @@
-use kwg_model::{FleetSnapshot, MovePhase, PoolRow, TargetRow, VersionName};
+use kwg_model::{FleetSnapshot, MovePhase, PoolRow, TargetName, TargetRow, VersionName};
 use rand::Rng;
 
 /// Share of traffic that tests a new version, in percent.
@@ -34,6 +34,14 @@
         if is_braked || rng.random_range(0..100) >= percent { &pool.version } else { &row.to }
     }
 
+    /// The target that is to be kept at its limit, whatever version it serves, so that a canary
+    /// meets the load of a full target.
+    #[must_use]
+    pub fn filled_first(pool: &PoolRow) -> Option<&TargetName> {
+        let row = pool.version_move.as_ref()?;
+        (row.phase == MovePhase::Canary).then(|| row.loaded.first()).flatten()
+    }
+
     /// Whether a target may serve a version.
     ///
     /// A canary is served by one target only, so that it meets the load of a full target: some
--- a/kwg-flow/src/control/control_core.rs
+++ b/kwg-flow/src/control/control_core.rs
@@ -1,17 +1,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use kwg_decide::{GraphMember, InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState};
 use kwg_model::{
-    FleetSnapshot, HomeAddress, InstanceName, InstanceRow, MonoTime, TableDelta, TableSet,
+    FleetSnapshot, HomeAddress, InstanceName, InstanceRow, MonoTime, PoolName, TableDelta,
+    TableSet, TargetName, VersionName,
 };
 
+use super::leader_desk::LeaderDesk;
+use super::move_desk::MoveDesk;
+use super::poison_desk::PoisonDesk;
 use super::read_schedule::{ReadChange, ReadSchedule};
 use super::{
     ControlEvent, ControlInput, ControlMessage, ControlOptions, ControlOutput, ControlStatus,
-    Heartbeat,
+    CrashId, Heartbeat,
 };
 
+/// Time between reports of samples to the leader of a move.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Most handed-over ledgers that are remembered and passed on.
 const MOVED_MAX: usize = 64;
 
@@ -31,7 +38,7 @@
 ///     domain: DomainName::new("ost-graz")?,
 ///     region: RegionName::new("ost")?,
 /// };
-/// let mut core = ControlCore::new(own, ControlOptions::default());
+/// let mut core = ControlCore::new(own, ControlOptions::default(), 0);
 /// let outputs = core.step(MonoTime::ZERO, ControlInput::Tick);
 /// assert!(outputs.iter().any(|output| matches!(output, ControlOutput::ReadTables)));
 /// assert!(!core.status().ready, "no tables are known yet");
@@ -52,6 +59,13 @@
     /// Which old record goes with the next heartbeat, in case its news was lost on the way.
     rotation: usize,
     next_heartbeat: MonoTime,
+    moves: MoveDesk,
+    leader: LeaderDesk,
+    poison: PoisonDesk,
+    next_samples: MonoTime,
+    last_fence: Option<u64>,
+    crash_count: u64,
+    wall_start_ms: u64,
     has_news: bool,
     is_stale: bool,
     is_draining: bool,
@@ -59,10 +73,20 @@
 }
 
 impl ControlCore {
-    /// A core that has just started and knows nothing but its own router.
+    /// A core that has just started and knows nothing but its own router. The wall clock read
+    /// `wall_start_ms` milliseconds since the Unix epoch when the monotonic clock read zero.
     #[must_use]
-    pub fn new(own: PeerRecord, options: ControlOptions) -> Self {
+    pub fn new(own: PeerRecord, options: ControlOptions, wall_start_ms: u64) -> Self {
+        let address =
+            HomeAddress { instance: own.instance.clone(), incarnation: own.incarnation, shard: 0 };
         Self {
+            moves: MoveDesk::default(),
+            leader: LeaderDesk::new(address, options.lease),
+            poison: PoisonDesk::new(options.poison),
+            next_samples: MonoTime::ZERO,
+            last_fence: None,
+            crash_count: 0,
+            wall_start_ms,
             roster: PeerRoster::new(own, options.roster),
             instances: InstanceBook::default(),
             tables: Arc::default(),
@@ -88,6 +112,16 @@
             ControlInput::InstancesRead(list) => self.on_instances_read(now, list),
             ControlInput::Peer { from, message } => self.on_peer(now, from, message),
             ControlInput::Inherited { home, successor } => self.note_moved(home, successor),
+            ControlInput::Sample(sample) => self.moves.note_sample(&sample),
+            ControlInput::Crash { fingerprint, target } => {
+                self.on_own_crash(now, fingerprint, target)
+            }
+            ControlInput::LeaseRead(answer) => self.leader.on_read(now, answer),
+            ControlInput::LeaseWritten(answer) => self.leader.on_written(now, answer),
+            ControlInput::OrderDone { pool, target, version, loaded } => {
+                self.leader.on_order_done(pool, target, version, loaded);
+            }
+            ControlInput::EditTried => self.leader.on_edit_tried(now),
             ControlInput::Drain => {
                 self.is_draining = true;
                 self.roster.set_own_state(PeerState::Leaving);
@@ -96,6 +130,8 @@
             ControlInput::Tick => {}
         }
         self.read_platform(now);
+        self.lead(now);
+        self.is_stale |= self.poison.forget_old(now);
         self.roster.expire(now, &self.neighbours);
         self.beat(now);
         if std::mem::take(&mut self.is_stale) {
@@ -107,8 +143,9 @@
 
     /// When the core wants its next [`ControlInput::Tick`].
     #[must_use]
-    pub fn next_wake(&self) -> MonoTime {
-        self.next_heartbeat.min(self.table_reads.next()).min(self.list_reads.next())
+    pub fn next_wake(&self, now: MonoTime) -> MonoTime {
+        let regular = self.next_heartbeat.min(self.table_reads.next()).min(self.list_reads.next());
+        self.leader.next_wake(now, &self.moves).map_or(regular, |wake| wake.min(regular))
     }
 
     /// What operators see of this router.
@@ -122,6 +159,13 @@
             revision: self.tables.revision,
             change_id: self.tables.change_id.clone(),
             peers: self.roster.present().count(),
+            leads: self.last_fence.is_some(),
+            braked: self
+                .moves
+                .brakes()
+                .keys()
+                .map(|(pool, version)| format!("{pool}/{version}"))
+                .collect(),
         }
     }
 
@@ -138,7 +182,8 @@
             leaving: self.instances.leaving_targets(),
             moved: self.moved.clone(),
             ended: self.roster.ended().cloned().collect(),
-            braked: BTreeSet::new(),
+            poison: self.poison.poison().clone(),
+            braked: self.moves.brakes().keys().cloned().collect(),
         }
     }
 
@@ -151,6 +196,66 @@
         }
     }
 
+    /// Judges, brakes, and drives the moves if this router leads.
+    fn lead(&mut self, now: MonoTime) {
+        for (pool, version, evidence) in self.moves.found_bad() {
+            self.brake(pool, version, evidence);
+        }
+        if now >= self.next_samples && self.moves.is_busy() {
+            self.next_samples = now + SAMPLE_INTERVAL;
+            let own = &self.roster.own().instance;
+            let leader = self.leader.leader().filter(|leader| leader.instance != *own);
+            if let Some(leader) = leader.cloned() {
+                let samples = self.moves.take_unsent(&leader);
+                if !samples.is_empty() {
+                    let (to, message) = (leader.instance, ControlMessage::Samples(samples));
+                    self.outputs.push(ControlOutput::Send { to, message });
+                }
+            }
+        }
+        let wall_ms = self.wall_start_ms + now.as_millis();
+        self.leader.step(now, wall_ms, &self.tables, &self.moves, &mut self.outputs);
+        let fence = self.leader.fence(now);
+        if fence != self.last_fence {
+            self.last_fence = fence;
+            self.outputs.push(ControlOutput::Event(ControlEvent::Leadership { fence }));
+        }
+    }
+
+    /// Stops traffic to a version at once, and tells everybody. It needs nobody's permission.
+    fn brake(&mut self, pool: PoolName, version: VersionName, evidence: String) {
+        if !self.moves.brake(pool.clone(), version.clone(), evidence.clone()) {
+            return;
+        }
+        self.is_stale = true;
+        self.send_all(&ControlMessage::Brake {
+            pool: pool.clone(),
+            version: version.clone(),
+            evidence: evidence.clone(),
+        });
+        let event = ControlEvent::Braked { pool, version, evidence };
+        self.outputs.push(ControlOutput::Event(event));
+    }
+
+    fn on_own_crash(&mut self, now: MonoTime, fingerprint: u64, target: TargetName) {
+        self.crash_count += 1;
+        let own = self.roster.own();
+        let (instance, incarnation) = (own.instance.clone(), own.incarnation);
+        let id = CrashId { instance, incarnation, number: self.crash_count };
+        self.note_crash(now, fingerprint, target, id);
+    }
+
+    fn note_crash(&mut self, now: MonoTime, fingerprint: u64, target: TargetName, id: CrashId) {
+        if !self.poison.note_crash(now, fingerprint, target.clone(), id.clone()) {
+            return;
+        }
+        self.send_all(&ControlMessage::Crash { fingerprint, target, id });
+        if self.poison.condemn(fingerprint) {
+            self.is_stale = true;
+            self.outputs.push(ControlOutput::Event(ControlEvent::Poisoned { fingerprint }));
+        }
+    }
+
     fn on_tables_read(&mut self, now: MonoTime, tables: Option<TableSet>) {
         let routers = self.fleet_size();
         let per_second = self.options.fleet_reads_per_second;
@@ -220,6 +325,17 @@
                 let heartbeat = self.heartbeat(records);
                 self.outputs.push(ControlOutput::Send { to: from, message: heartbeat });
             }
+            ControlMessage::Samples(samples) => {
+                for (key, batch) in samples {
+                    self.moves.note_batch(&key, &batch);
+                }
+            }
+            ControlMessage::Brake { pool, version, evidence } => {
+                self.brake(pool, version, evidence);
+            }
+            ControlMessage::Crash { fingerprint, target, id } => {
+                self.note_crash(now, fingerprint, target, id);
+            }
             ControlMessage::Instances { version, rows } => {
                 if self.instances.patch(version, rows.clone()) {
                     self.note_instances(&rows);
@@ -269,7 +385,9 @@
         }
         let delta = TableDelta::between(&self.tables, &tables);
         let was_ready = self.status().ready;
+        self.note_move_steps(&tables);
         self.tables = tables;
+        self.moves.on_tables(&self.tables);
         self.is_stale = true;
         let event = ControlEvent::TablesInForce {
             revision: self.tables.revision,
@@ -283,6 +401,19 @@
         self.send_all(&ControlMessage::TableDelta(Arc::new(delta)));
     }
 
+    /// Tells plainly how each move has gone on.
+    fn note_move_steps(&mut self, tables: &TableSet) {
+        for pool in tables.pools.values() {
+            let old = self.tables.pools.get(&pool.name).and_then(|old| old.version_move.as_ref());
+            let Some(row) = &pool.version_move else { continue };
+            if old.map(|old| (&old.to, old.phase)) != Some((&row.to, row.phase)) {
+                let (pool, row) = (pool.name.clone(), Box::new(row.clone()));
+                let event = ControlEvent::MoveStep { pool, row };
+                self.outputs.push(ControlOutput::Event(event));
+            }
+        }
+    }
+
     fn note_moved(&mut self, home: HomeAddress, successor: HomeAddress) {
         if self.moved.get(&home) == Some(&successor) {
             return;
--- a/kwg-flow/src/control/control_event.rs
+++ b/kwg-flow/src/control/control_event.rs
@@ -1,5 +1,5 @@
 use kwg_decide::PeerState;
-use kwg_model::{HomeAddress, InstanceName};
+use kwg_model::{HomeAddress, InstanceName, PoolName, VersionMove, VersionName};
 
 /// Something that changed for the whole router, for logs and the time line.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +39,32 @@
     },
     /// This router knows the tables and takes requests.
     Ready,
+    /// This router leads version moves now, or no longer.
+    Leadership {
+        /// The fencing number, if it leads.
+        fence: Option<u64>,
+    },
+    /// A version gets no more traffic.
+    Braked {
+        /// The pool.
+        pool: PoolName,
+        /// The version.
+        version: VersionName,
+        /// On which evidence.
+        evidence: String,
+    },
+    /// A move took a step, by the tables in force.
+    MoveStep {
+        /// The pool.
+        pool: PoolName,
+        /// The move.
+        row: Box<VersionMove>,
+    },
+    /// A request is refused from now on: it crashed its targets.
+    Poisoned {
+        /// Its fingerprint.
+        fingerprint: u64,
+    },
     /// A ledger is kept by another core now.
     LedgerMoved {
         /// The home.
@@ -59,6 +85,11 @@
             Self::PlatformDown { .. } => "platform-down",
             Self::PlatformUp { .. } => "platform-up",
             Self::Ready => "ready",
+            Self::Leadership { fence: Some(_) } => "leads",
+            Self::Leadership { fence: None } => "leads-no-longer",
+            Self::Braked { .. } => "braked",
+            Self::MoveStep { .. } => "move-step",
+            Self::Poisoned { .. } => "poisoned",
             Self::LedgerMoved { .. } => "ledger-moved",
         }
     }
--- a/kwg-flow/src/control/control_input.rs
+++ b/kwg-flow/src/control/control_input.rs
@@ -1,6 +1,10 @@
-use kwg_model::{HomeAddress, InstanceName, InstanceRow, TableSet};
+use kwg_decide::LeaseRow;
+use kwg_model::{
+    HomeAddress, InstanceName, InstanceRow, PoolName, TableSet, TargetName, VersionName,
+};
 
 use super::ControlMessage;
+use crate::VersionSample;
 
 /// What comes into a control core.
 #[derive(Debug)]
@@ -23,6 +27,32 @@
         /// The core that has it now.
         successor: HomeAddress,
     },
+    /// An answer counted by a traffic core of this router.
+    Sample(VersionSample),
+    /// A target crashed with a request of this router.
+    Crash {
+        /// The request's fingerprint.
+        fingerprint: u64,
+        /// The target.
+        target: TargetName,
+    },
+    /// The lease row; `None` if the platform did not answer.
+    LeaseRead(Option<Option<LeaseRow>>),
+    /// What became of a write of the lease row; `None` if the platform did not answer.
+    LeaseWritten(Option<bool>),
+    /// What became of an order to load a version.
+    OrderDone {
+        /// The pool.
+        pool: PoolName,
+        /// The target.
+        target: TargetName,
+        /// The version.
+        version: VersionName,
+        /// Whether the target says that it has loaded the version.
+        loaded: bool,
+    },
+    /// An edit of a move has been tried; what is in place comes with the tables.
+    EditTried,
     /// A graceful shutdown begins.
     Drain,
     /// Time has passed.
--- a/kwg-flow/src/control/control_message.rs
+++ b/kwg-flow/src/control/control_message.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
-use kwg_decide::PeerRecord;
-use kwg_model::{HomeAddress, InstanceRow, TableDelta, TableSet};
+use kwg_decide::{PeerRecord, SampleBatch, SampleKey};
+use kwg_model::{
+    HomeAddress, InstanceName, InstanceRow, PoolName, TableDelta, TableSet, TargetName, VersionName,
+};
 use serde::{Deserialize, Serialize};
 
 /// What control cores tell each other.
@@ -17,6 +19,26 @@
     TablePull,
     /// Asks for every record of membership; sent by a router that has just started.
     RosterPull,
+    /// Answers counted for the leader of a version move.
+    Samples(Vec<(SampleKey, SampleBatch)>),
+    /// A version gets no more traffic: any router may say so, and all pass it on.
+    Brake {
+        /// The pool.
+        pool: PoolName,
+        /// The version.
+        version: VersionName,
+        /// On which evidence.
+        evidence: String,
+    },
+    /// A target crashed with a request of this fingerprint; all pass it on.
+    Crash {
+        /// The fingerprint.
+        fingerprint: u64,
+        /// The target.
+        target: TargetName,
+        /// Tells this crash from others, so that it counts once.
+        id: CrashId,
+    },
     /// Rows of the instance list that changed.
     Instances {
         /// The version of the list.
@@ -26,6 +48,17 @@
     },
 }
 
+/// Names one crash: the run of the router that saw it, and its count there.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// The router.
+    pub instance: InstanceName,
+    /// Its run.
+    pub incarnation: u64,
+    /// The count of its crashes.
+    pub number: u64,
+}
+
 /// What a neighbour learns at each heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/kwg-flow/src/control/control_options.rs
+++ b/kwg-flow/src/control/control_options.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use kwg_decide::RosterOptions;
+use kwg_decide::{LeaseOptions, PoisonOptions, RosterOptions};
 
 /// Waiting times of the control core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,6 +9,10 @@
     pub heartbeat: Duration,
     /// Waiting times of membership.
     pub roster: RosterOptions,
+    /// Times of the lease of version moves.
+    pub lease: LeaseOptions,
+    /// Limits of the list of requests that crash targets.
+    pub poison: PoisonOptions,
     /// Shortest time between reads of the tables' revision.
     pub table_read: Duration,
     /// Shortest time between reads of the instance list.
@@ -23,6 +27,8 @@
         Self {
             heartbeat: Duration::from_secs(1),
             roster: RosterOptions::default(),
+            lease: LeaseOptions::default(),
+            poison: PoisonOptions::default(),
             table_read: Duration::from_millis(500),
             list_read: Duration::from_millis(500),
             fleet_reads_per_second: 200,
--- a/kwg-flow/src/filter/relay_filter.rs
+++ b/kwg-flow/src/filter/relay_filter.rs
@@ -114,13 +114,18 @@
         self.running.insert(key, flow);
     }
 
-    /// Ends an answer without its being whole.
-    pub(crate) fn fail(&mut self, key: &TicketKey, outcome: CallOutcome, pipe: &mut FlowPipe<'_>) {
-        self.running.remove(key);
-        self.recover.end(key);
+    /// Ends an answer without its being whole; gives the request if this core dispatched it.
+    pub(crate) fn fail(
+        &mut self,
+        key: &TicketKey,
+        outcome: CallOutcome,
+        pipe: &mut FlowPipe<'_>,
+    ) -> Option<RequestFlow<Dispatched>> {
+        let flow = self.running.remove(key).or(self.recover.end(key));
         if let Some(mut record) = self.shelf.remove(key) {
             record.fail(key, outcome, pipe.outputs);
         }
+        flow
     }
 
     /// Takes a step of an answer that another core relays.
--- a/kwg-flow/src/lib.rs
+++ b/kwg-flow/src/lib.rs
@@ -16,7 +16,7 @@
 pub use answer::AnswerNote;
 pub use control::{
     ControlCore, ControlEvent, ControlInput, ControlMessage, ControlOptions, ControlOutput,
-    ControlStatus, Heartbeat,
+    ControlStatus, CrashId, Heartbeat, LoadOrder,
 };
 pub use request::{
     Admitted, Answered, CallRejection, Claimed, DispatchOrder, Dispatched, Placed, Received,
@@ -24,5 +24,5 @@
 };
 pub use traffic::{
     CallerKey, CallerReply, EventKind, FlowEvent, ResumeOrder, TargetEvent, TrafficCore,
-    TrafficIdentity, TrafficInput, TrafficMessage, TrafficOptions, TrafficOutput,
+    TrafficIdentity, TrafficInput, TrafficMessage, TrafficOptions, TrafficOutput, VersionSample,
 };
--- a/kwg-flow/src/request/request_flow.rs
+++ b/kwg-flow/src/request/request_flow.rs
@@ -248,6 +248,12 @@
 }
 
 impl RequestFlow<Dispatched> {
+    /// The tier.
+    #[must_use]
+    pub fn tier(&self) -> ServiceTier {
+        self.stage.admitted.tier
+    }
+
     /// The target that runs the request.
     #[must_use]
     pub fn choice(&self) -> &TargetChoice {
--- a/kwg-flow/src/traffic.rs
+++ b/kwg-flow/src/traffic.rs
@@ -10,6 +10,7 @@
 mod traffic_options;
 mod traffic_output;
 mod traffic_pipeline;
+mod version_sample;
 
 pub use caller_reply::CallerReply;
 pub use flow_event::{EventKind, FlowEvent};
@@ -20,3 +21,4 @@
 pub use traffic_message::TrafficMessage;
 pub use traffic_options::TrafficOptions;
 pub use traffic_output::TrafficOutput;
+pub use version_sample::VersionSample;
--- a/kwg-flow/src/traffic/traffic_core.rs
+++ b/kwg-flow/src/traffic/traffic_core.rs
@@ -170,6 +170,10 @@
         if self.drain.is_draining() {
             return self.pipeline.refuse(&context, flow, None, NotRunReason::Draining, &mut pipe);
         }
+        let has_poison = !context.fleet.poison.is_empty();
+        if has_poison && context.fleet.poison.contains(&flow.submission().fingerprint()) {
+            return self.pipeline.refuse(&context, flow, None, NotRunReason::Poisoned, &mut pipe);
+        }
         self.pipeline.enqueue(&context, flow, &mut pipe);
     }
 
--- a/kwg-flow/src/traffic/traffic_output.rs
+++ b/kwg-flow/src/traffic/traffic_output.rs
@@ -1,6 +1,6 @@
 use kwg_model::{DispatchTicket, HomeAddress, PoolName, TargetName, TicketKey};
 
-use super::{CallerKey, CallerReply, FlowEvent, ResumeOrder, TrafficMessage};
+use super::{CallerKey, CallerReply, FlowEvent, ResumeOrder, TrafficMessage, VersionSample};
 use crate::DispatchOrder;
 
 /// What a traffic core wants done.
@@ -42,6 +42,15 @@
         /// The ticket to bind it to; its account is the key's.
         ticket: DispatchTicket,
     },
+    /// Count an answer for the judge of a version move.
+    Sample(VersionSample),
+    /// A target crashed, or seems to have, with a request of this fingerprint.
+    Crash {
+        /// The request's fingerprint.
+        fingerprint: u64,
+        /// The target.
+        target: TargetName,
+    },
     /// Note an event.
     Event(FlowEvent),
     /// This core carries on with the ledger of another one; the fleet is to be told.
--- a/kwg-flow/src/traffic/traffic_pipeline.rs
+++ b/kwg-flow/src/traffic/traffic_pipeline.rs
@@ -1,12 +1,12 @@
 use std::collections::VecDeque;
 
-use kwg_decide::ClaimFailure;
+use kwg_decide::{ClaimFailure, SampleKey};
 use kwg_model::{
-    BurnVerdict, CallOutcome, ClaimStub, HomeAddress, MonoTime, NotRunReason, ServiceTier,
-    TicketKey, UnknownReason,
+    BurnVerdict, CallOutcome, CallSubmission, ClaimStub, HomeAddress, MonoTime, NotRunReason,
+    PoolName, ServiceTier, TicketKey, UnknownReason, VersionMove, VersionName,
 };
 
-use super::{EventKind, TrafficIdentity, TrafficOptions, TrafficOutput};
+use super::{EventKind, TrafficIdentity, TrafficOptions, TrafficOutput, VersionSample};
 use crate::filter::{
     BurnRequest, BurnStep, ClaimFilter, ClaimStep, FlowContext, FlowPipe, PlaceFilter, QueueFilter,
     RelayFilter, RelayStep,
@@ -213,11 +213,14 @@
     ) {
         match step {
             RelayStep::Continue => {}
-            RelayStep::Failed(key, outcome) => self.fail(&key, outcome, None, pipe),
+            RelayStep::Failed(key, outcome) => self.fail_at_target(context, &key, outcome, pipe),
             RelayStep::Ended(flow) => {
                 let figures = flow.figures();
                 let tokens = flow.cost_tokens();
                 self.place.note_answer(&figures.pool, &figures.target, tokens, figures.service);
+                let micros = figures.service.as_micros() as f64 / tokens.max(1) as f64;
+                let (pool, version) = (&figures.pool, &figures.version);
+                sample(context, flow.submission(), pool, version, Some(micros), pipe);
                 pipe.event(flow.key(), EventKind::answered(figures));
             }
             RelayStep::NotStarted(flow, order) => {
@@ -229,6 +232,25 @@
         }
     }
 
+    /// Ends a request whose target failed: the version and the request are both suspected.
+    fn fail_at_target(
+        &mut self,
+        context: &FlowContext<'_>,
+        key: &TicketKey,
+        outcome: CallOutcome,
+        pipe: &mut FlowPipe<'_>,
+    ) {
+        let Some(flow) = self.relay.fail(key, outcome, pipe) else {
+            return pipe.event(key, EventKind::Failed { outcome, tier: None });
+        };
+        let (choice, submission) = (flow.choice(), flow.submission());
+        let fingerprint = submission.fingerprint();
+        let target = choice.target.clone();
+        pipe.outputs.push(TrafficOutput::Crash { fingerprint, target });
+        sample(context, submission, &choice.pool, &choice.version, None, pipe);
+        pipe.event(key, EventKind::Failed { outcome, tier: Some(flow.tier()) });
+    }
+
     fn fail(
         &mut self,
         key: &TicketKey,
@@ -236,7 +258,7 @@
         tier: Option<ServiceTier>,
         pipe: &mut FlowPipe<'_>,
     ) {
-        self.relay.fail(key, outcome, pipe);
+        drop(self.relay.fail(key, outcome, pipe));
         pipe.event(key, EventKind::Failed { outcome, tier });
     }
 
@@ -279,3 +301,23 @@
         waits.into_iter().flatten().min()
     }
 }
+
+/// Counts an answer for the judge while a version move is under way in its pool.
+fn sample(
+    context: &FlowContext<'_>,
+    submission: &CallSubmission,
+    pool: &PoolName,
+    version: &VersionName,
+    micros: Option<f64>,
+    pipe: &mut FlowPipe<'_>,
+) {
+    let row = context.fleet.tables.pools.get(pool).and_then(|pool| pool.version_move.as_ref());
+    if row.is_none_or(VersionMove::has_ended) {
+        return;
+    }
+    let key =
+        SampleKey { pool: pool.clone(), route: submission.route.clone(), version: version.clone() };
+    let sample =
+        VersionSample { key, failed: micros.is_none(), micros_per_token: micros.unwrap_or(0.0) };
+    pipe.outputs.push(TrafficOutput::Sample(sample));
+}
--- a/kwg-flow/tests/control.rs
+++ b/kwg-flow/tests/control.rs
@@ -1,129 +1,15 @@
 //! The control core: tables upwards only, outages, news that spreads, many routers in one
 //! process.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+mod control_fleet;
+
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kwg_decide::{PeerRecord, PeerState};
-use kwg_flow::{ControlCore, ControlInput, ControlMessage, ControlOptions, ControlOutput};
-use kwg_model::{
-    DomainName, FleetSnapshot, InstanceKind, InstanceName, InstanceRow, MonoTime, RegionName,
-    TableSet,
-};
-
-/// Control cores on one network, with one platform.
-struct ControlFleet {
-    now: MonoTime,
-    cores: BTreeMap<InstanceName, ControlCore>,
-    snapshots: BTreeMap<InstanceName, Arc<FleetSnapshot>>,
-    messages: Vec<(InstanceName, InstanceName, ControlMessage)>,
-    sent: usize,
-    reads: usize,
-    tables: Option<TableSet>,
-    list: (u64, Vec<InstanceRow>),
-    /// Routers that no message reaches or leaves.
-    cut_off: BTreeSet<InstanceName>,
-}
-
-fn name(number: usize) -> InstanceName {
-    InstanceName::new(format!("r{number:03}")).expect("valid")
-}
-
-fn record(number: usize, incarnation: u64) -> PeerRecord {
-    PeerRecord {
-        instance: name(number),
-        incarnation,
-        counter: 0,
-        state: PeerState::Serving,
-        shards: 1,
-        domain: DomainName::new("ost-graz").expect("valid"),
-        region: RegionName::new("ost").expect("valid"),
-    }
-}
-
-fn row(name: &str, kind: InstanceKind, leaving: bool) -> InstanceRow {
-    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
-    InstanceRow { name: name.to_owned(), kind, address, admin: None, region: None, leaving }
-}
-
-fn revision(revision: u64) -> TableSet {
-    TableSet { revision, change_id: format!("change {revision}"), ..TableSet::default() }
-}
-
-impl ControlFleet {
-    fn new(routers: usize) -> Self {
-        let mut rows: Vec<InstanceRow> = (0..routers)
-            .map(|number| row(name(number).as_str(), InstanceKind::Router, false))
-            .collect();
-        rows.push(row("e1", InstanceKind::Target, false));
-        let cores = (0..routers).map(|number| {
-            (name(number), ControlCore::new(record(number, 1), ControlOptions::default()))
-        });
-        Self {
-            now: MonoTime::from_millis(1),
-            cores: cores.collect(),
-            snapshots: BTreeMap::new(),
-            messages: Vec::new(),
-            sent: 0,
-            reads: 0,
-            tables: Some(revision(1)),
-            list: (1, rows),
-            cut_off: BTreeSet::new(),
-        }
-    }
-
-    fn input(&mut self, router: &InstanceName, input: ControlInput) {
-        let Some(core) = self.cores.get_mut(router) else { return };
-        let mut inputs = vec![input];
-        while let Some(input) = inputs.pop() {
-            for output in core.step(self.now, input) {
-                match output {
-                    ControlOutput::Publish(snapshot) => {
-                        self.snapshots.insert(router.clone(), snapshot);
-                    }
-                    ControlOutput::Send { to, message } => {
-                        self.sent += 1;
-                        self.messages.push((router.clone(), to, message));
-                    }
-                    ControlOutput::ReadTables => {
-                        self.reads += 1;
-                        inputs.push(ControlInput::TablesRead(self.tables.clone()));
-                    }
-                    ControlOutput::ReadInstances => {
-                        let list = self.tables.is_some().then(|| self.list.clone());
-                        inputs.push(ControlInput::InstancesRead(list));
-                    }
-                    ControlOutput::Event(_) => {}
-                }
-            }
-        }
-    }
-
-    fn pass(&mut self, span: Duration) {
-        const STEP: Duration = Duration::from_millis(50);
-        let end = self.now + span;
-        while self.now < end {
-            self.now = self.now + STEP;
-            for (from, to, message) in std::mem::take(&mut self.messages) {
-                if !self.cut_off.contains(&from) && !self.cut_off.contains(&to) {
-                    self.input(&to, ControlInput::Peer { from, message });
-                }
-            }
-            let routers: Vec<InstanceName> = self.cores.keys().cloned().collect();
-            for router in routers {
-                if self.cores[&router].next_wake() <= self.now {
-                    self.input(&router, ControlInput::Tick);
-                }
-            }
-        }
-    }
-
-    fn revisions(&self) -> BTreeSet<u64> {
-        self.cores.values().map(|core| core.status().revision).collect()
-    }
-}
+use control_fleet::{ControlFleet, name, record, revision, row};
+use kwg_flow::{ControlCore, ControlInput, ControlMessage, ControlOptions};
+use kwg_model::InstanceKind;
 
 #[test]
 fn every_router_finds_every_other() {
@@ -136,11 +22,11 @@
 fn a_change_is_in_force_everywhere_within_seconds_and_never_reverts() {
     let mut fleet = ControlFleet::new(50);
     fleet.pass(Duration::from_secs(5));
-    fleet.tables = Some(revision(2));
+    fleet.tables = revision(2);
     fleet.pass(Duration::from_secs(2));
     assert_eq!(fleet.revisions(), BTreeSet::from([2]));
     // A replica of the service that lags, or a late message, brings back nothing.
-    fleet.tables = Some(revision(1));
+    fleet.tables = revision(1);
     let late = ControlMessage::Tables(Arc::new(revision(1)));
     fleet.input(&name(3), ControlInput::Peer { from: name(4), message: late });
     fleet.pass(Duration::from_secs(5));
@@ -153,11 +39,11 @@
     fleet.pass(Duration::from_secs(3));
     let restarted = name(4);
     // It read the instance list, and then the service went away.
-    let core = ControlCore::new(record(4, 2), ControlOptions::default());
+    let core = ControlCore::new(record(4, 2), ControlOptions::default(), 0);
     fleet.cores.insert(restarted.clone(), core);
     assert!(!fleet.cores[&restarted].status().ready, "it does not serve before it knows them");
     let list = fleet.list.clone();
-    fleet.tables = None;
+    fleet.store_is_down = true;
     fleet.input(&restarted, ControlInput::InstancesRead(Some(list)));
     fleet.pass(Duration::from_secs(3));
     assert!(fleet.cores[&restarted].status().ready);
@@ -194,7 +80,7 @@
 fn a_restarted_router_is_told_apart_from_its_old_run() {
     let mut fleet = ControlFleet::new(9);
     fleet.pass(Duration::from_secs(3));
-    let core = ControlCore::new(record(4, 2), ControlOptions::default());
+    let core = ControlCore::new(record(4, 2), ControlOptions::default(), 0);
     fleet.cores.insert(name(4), core);
     fleet.pass(Duration::from_secs(5));
     for (router, snapshot) in fleet.snapshots.iter().filter(|(router, _)| **router != name(4)) {
--- a/kwg-flow/tests/support/mod.rs
+++ b/kwg-flow/tests/support/mod.rs
@@ -46,6 +46,7 @@
     pub events: Vec<FlowEvent>,
     pub inherited: Vec<HomeAddress>,
     pub drained: Option<bool>,
+    pub crashes: Vec<u64>,
 }
 
 pub fn account() -> AccountName {
@@ -177,6 +178,7 @@
             events: Vec::new(),
             inherited: Vec::new(),
             drained: None,
+            crashes: Vec::new(),
         };
         self.cores.insert(name.to_owned(), core);
     }
@@ -216,6 +218,8 @@
                 TrafficOutput::Resume(order) => sim.resumed.push(order),
                 TrafficOutput::Cancel { key, .. } => sim.cancelled.push(key),
                 TrafficOutput::Event(event) => sim.events.push(event),
+                TrafficOutput::Sample(_) => {}
+                TrafficOutput::Crash { fingerprint, .. } => sim.crashes.push(fingerprint),
                 TrafficOutput::BindKey { request, key, ticket } => {
                     // The first ticket that a key is bound to stays.
                     let bound = self.bindings.entry(key).or_insert(ticket).clone();
--- a/kwg-model/src/call_submission.rs
+++ b/kwg-model/src/call_submission.rs
@@ -32,6 +32,16 @@
 }
 
 impl CallSubmission {
+    /// Tells requests with the same route and body from others, so that one that crashes its
+    /// targets is known when it is sent again.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.route.as_str().as_bytes()).update(&[0]).update(&self.body);
+        let hash = hasher.finalize();
+        hash.as_bytes().first_chunk().map_or(0, |bytes| u64::from_le_bytes(*bytes))
+    }
+
     /// The expected work at an engine, in tokens: prompt at about four bytes a token, and answer.
     #[must_use]
     pub fn cost_tokens(&self) -> u64 {
--- a/kwg-model/src/fleet_snapshot.rs
+++ b/kwg-model/src/fleet_snapshot.rs
@@ -15,6 +15,8 @@
     pub moved: BTreeMap<HomeAddress, HomeAddress>,
     /// Runs of routers that have ended: another run of the same instance came after them.
     pub ended: BTreeSet<(InstanceName, u64)>,
+    /// Fingerprints of requests that crashed one target after the other.
+    pub poison: BTreeSet<u64>,
     /// Versions that get no traffic because a brake is on.
     pub braked: BTreeSet<(PoolName, VersionName)>,
 }
--- a/kwg-platform/src/config_store.rs
+++ b/kwg-platform/src/config_store.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use kwg_clock::ClockHandle;
-use kwg_model::{PoolRow, RouteRow, TableDelta, TableSet};
+use kwg_model::{MovePhase, PoolName, PoolRow, RouteRow, TableDelta, TableSet, VersionMove};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, to_value};
 use snafu::ResultExt;
@@ -132,6 +132,31 @@
     }
 }
 
+impl TableReading {
+    /// The tables with a pool's move replaced, `None` if the move is not as expected.
+    ///
+    /// A move that is done changes the pool's version and that of its targets.
+    #[must_use]
+    pub fn with_move(
+        &self,
+        pool: &PoolName,
+        from: &VersionMove,
+        to: &VersionMove,
+    ) -> Option<TableSet> {
+        let mut tables = self.tables.clone();
+        let row = tables.pools.get_mut(pool)?;
+        if row.version_move.as_ref() != Some(from) {
+            return None;
+        }
+        if to.phase == MovePhase::Done {
+            row.version = to.to.clone();
+            row.targets.iter_mut().for_each(|target| target.version = to.to.clone());
+        }
+        row.version_move = Some(to.clone());
+        Some(tables)
+    }
+}
+
 /// Tells from the tables as they are whether this edit, sent earlier, is among the accepted.
 fn settle(reading: &TableReading, request: &EditRequest, revision: u64) -> EditOutcome {
     if reading.changes.contains(&request.change_id) {
--- a/kwg-platform/src/lib.rs
+++ b/kwg-platform/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod config_store;
 mod key_store;
+mod lease_store;
 mod list_client;
 mod object_client;
 mod platform_error;
@@ -13,6 +14,7 @@
 
 pub use config_store::{ConfigStore, EditOutcome, EditRequest, TableReading};
 pub use key_store::KeyStore;
+pub use lease_store::LeaseStore;
 pub use list_client::{InstanceList, ListClient};
 pub use object_client::ObjectClient;
 pub use platform_error::PlatformError;
--- a/kwg-router/src/control_thread.rs
+++ b/kwg-router/src/control_thread.rs
@@ -10,14 +10,19 @@
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
 use kwg_clock::ClockHandle;
-use kwg_decide::{PeerRecord, PeerState};
-use kwg_flow::{ControlCore, ControlInput, ControlOutput, TrafficInput};
+use kwg_decide::{LeaseWrite, PeerRecord, PeerState};
+use kwg_flow::{ControlCore, ControlInput, ControlOutput, LoadOrder, TrafficInput};
 use kwg_front::AdminServer;
 use kwg_http::CallClient;
+use kwg_model::{PoolName, VersionMove};
 use kwg_peer::LinkCommand;
-use kwg_platform::{ConfigStore, KeyStore, ListClient, ObjectClient, TableClient};
-use kwg_telemetry::EventLine;
+use kwg_platform::{
+    ConfigStore, EditRequest, KeyStore, LeaseStore, ListClient, ObjectClient, TableClient,
+};
+use kwg_target::{TargetClient, TargetOptions};
+use kwg_telemetry::{EventLine, HybridClock};
 use kwg_wire::PeerBody;
+use rand::random;
 
 use crate::event_archive::EventArchive;
 use crate::key_binder::{BindRequest, KeyBinder, sweep_keys};
@@ -32,6 +37,8 @@
     config: ConfigStore,
     list: ListClient,
     keys: KeyStore,
+    lease: LeaseStore,
+    targets: TargetClient,
 }
 
 impl ControlThread {
@@ -49,10 +56,17 @@
         let client =
             |address| CallClient::new(address, settings.platform.timeout, pipes.clock.clone());
         let tables = TableClient::new(client(settings.platform.tables));
+        let wall_start_ms = HybridClock::wall_millis() - pipes.clock.now().as_millis();
         Self {
-            core: Rc::new(RefCell::new(ControlCore::new(own, settings.control))),
+            core: Rc::new(RefCell::new(ControlCore::new(own, settings.control, wall_start_ms))),
             executor: Rc::new(LocalExecutor::new()),
             keys: KeyStore::new(tables.clone()),
+            lease: LeaseStore::new(tables.clone()),
+            targets: TargetClient::new(
+                TargetOptions::default(),
+                pipes.clock.clone(),
+                pipes.events.clock().clone(),
+            ),
             config: ConfigStore::new(tables, pipes.clock.clone()),
             list: ListClient::new(client(settings.platform.instances)),
             pipes,
@@ -94,7 +108,7 @@
             settings.archive_interval,
         ));
         loop {
-            let wake = self.core.borrow().next_wake();
+            let wake = self.core.borrow().next_wake(self.pipes.clock.now());
             let tick = async {
                 self.pipes.clock.sleep_until(wake).await;
                 Some(ControlInput::Tick)
@@ -124,6 +138,10 @@
             }
             ControlOutput::ReadTables => self.read_tables(),
             ControlOutput::ReadInstances => self.read_instances(),
+            ControlOutput::ReadLease => self.read_lease(),
+            ControlOutput::WriteLease(write) => self.write_lease(write),
+            ControlOutput::Order(order) => self.order_load(order),
+            ControlOutput::EditMove { pool, from, to } => self.edit_move(pool, *from, *to),
             ControlOutput::Event(event) => {
                 self.pipes.metrics.note_control(&event);
                 self.pipes.events.note(EventLine::from(&event));
@@ -153,6 +171,59 @@
         self.executor.spawn(read).detach();
     }
 
+    fn read_lease(&self) {
+        let (lease, inputs) = (self.lease.clone(), self.pipes.control.clone());
+        let read = async move {
+            let row = lease.read().await.ok();
+            drop(inputs.send(ControlInput::LeaseRead(row)).await);
+        };
+        self.executor.spawn(read).detach();
+    }
+
+    fn write_lease(&self, write: LeaseWrite) {
+        let (lease, inputs) = (self.lease.clone(), self.pipes.control.clone());
+        let write = async move {
+            let committed = lease.write(&write).await.ok();
+            drop(inputs.send(ControlInput::LeaseWritten(committed)).await);
+        };
+        self.executor.spawn(write).detach();
+    }
+
+    fn order_load(&self, order: LoadOrder) {
+        let (targets, inputs) = (self.targets.clone(), self.pipes.control.clone());
+        let clock = self.pipes.clock.clone();
+        let give = async move {
+            let LoadOrder { permit, pool, target, address, version } = order;
+            // This task may have been paused since the permit was made.
+            let is_valid = permit.is_valid(clock.now());
+            let loaded = is_valid && targets.load(address, permit.fence(), &version).await;
+            let input = ControlInput::OrderDone { pool, target, version, loaded };
+            drop(inputs.send(input).await);
+        };
+        self.executor.spawn(give).detach();
+    }
+
+    fn edit_move(&self, pool: PoolName, from: VersionMove, to: VersionMove) {
+        let (config, inputs) = (self.config.clone(), self.pipes.control.clone());
+        let request = EditRequest {
+            change_id: format!("{:016x}", random::<u64>()),
+            editor: format!("router {}", self.pipes.settings.name),
+            edited_at_ms: HybridClock::wall_millis(),
+        };
+        let edit = async move {
+            if let Ok(reading) = config.read().await
+                && let Some(tables) = reading.with_move(&pool, &from, &to)
+            {
+                // Whether it was accepted shows in the tables, which are read next.
+                drop(config.edit(&reading, tables, &request).await);
+            }
+            let tables = config.read().await.ok().map(|reading| reading.tables);
+            drop(inputs.send(ControlInput::TablesRead(tables)).await);
+            drop(inputs.send(ControlInput::EditTried).await);
+        };
+        self.executor.spawn(edit).detach();
+    }
+
     fn read_instances(&self) {
         let (list, inputs) = (self.list.clone(), self.pipes.control.clone());
         let read = async move {
--- a/kwg-router/src/traffic_thread.rs
+++ b/kwg-router/src/traffic_thread.rs
@@ -8,8 +8,8 @@
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
 use kwg_flow::{
-    DispatchOrder, ResumeOrder, TargetEvent, TrafficCore, TrafficIdentity, TrafficInput,
-    TrafficMessage, TrafficOutput,
+    ControlInput, DispatchOrder, ResumeOrder, TargetEvent, TrafficCore, TrafficIdentity,
+    TrafficInput, TrafficMessage, TrafficOutput,
 };
 use kwg_front::{CallerDesk, FrontContext, FrontServer};
 use kwg_model::{FleetSnapshot, HomeAddress, PoolName, TargetName, TicketKey};
@@ -153,21 +153,28 @@
                     drop(self.own.try_send(input));
                 }
             }
+            TrafficOutput::Sample(sample) => self.tell_control(ControlInput::Sample(sample)),
+            TrafficOutput::Crash { fingerprint, target } => {
+                self.tell_control(ControlInput::Crash { fingerprint, target });
+            }
             TrafficOutput::Event(event) => {
                 self.pipes.metrics.note_flow(&event);
                 self.pipes.events.note(EventLine::from(&event));
             }
             TrafficOutput::Inherited { home } => {
                 let successor = self.address.clone();
-                let input = kwg_flow::ControlInput::Inherited { home, successor };
-                if self.pipes.control.try_send(input).is_err() {
-                    self.pipes.metrics.note_peer_fault("control-busy");
-                }
+                self.tell_control(ControlInput::Inherited { home, successor });
             }
             TrafficOutput::Drained { handed_over } => *drained = Some(handed_over),
         }
     }
 
+    fn tell_control(&self, input: ControlInput) {
+        if self.pipes.control.try_send(input).is_err() {
+            self.pipes.metrics.note_peer_fault("control-busy");
+        }
+    }
+
     fn send(&self, to: HomeAddress, message: TrafficMessage) {
         let from = self.address.clone();
         if to.instance == from.instance {
--- a/kwg-standin/src/engine/engine_standin.rs
+++ b/kwg-standin/src/engine/engine_standin.rs
@@ -62,6 +62,10 @@
             self.events.note(EventLine::new("engine-crash").field("ticket", id));
             std::process::exit(CRASH_CODE);
         }
+        let version = request.header(TargetHeaders::VERSION).map(|value| value.as_str());
+        if self.fails(version.unwrap_or_default()) {
+            return Some(Response::new(StatusCode::InternalServerError));
+        }
         let tokens = number(&request, TargetHeaders::MAX_TOKENS);
         let tokens = tokens.and_then(|tokens| u32::try_from(tokens).ok());
         let tokens = tokens.unwrap_or(TOKENS_DEFAULT);
@@ -73,6 +77,14 @@
         Some(response)
     }
 
+    /// Whether a request of this version fails: a version that is not loaded always does.
+    fn fails(&self, version: &str) -> bool {
+        let state = self.state.borrow();
+        let (bad, percent) = &state.bad_version;
+        let is_loaded = version.is_empty() || state.versions.contains(version);
+        !is_loaded || (bad == version && rand::random_range(0..100) < *percent)
+    }
+
     fn resume(&self, id: &str, request: &Request) -> Response {
         let state = self.state.borrow();
         let Some(cell) = state.streams.get(id) else {
@@ -109,16 +121,18 @@
             return Response::new(StatusCode::Conflict);
         }
         state.fence = state.fence.max(fence);
-        state.version = version.unwrap_or_else(|| state.version.clone());
+        state.versions.extend(version);
         Response::new(StatusCode::Ok)
     }
 
-    /// Switches a fault on: `slowdown=N`.
+    /// Switches a fault on: `slowdown=N`, or `bad_version=V` with `fail_percent=N`.
     fn fault(&self, request: &Request) -> Response {
         let mut state = self.state.borrow_mut();
         for (name, value) in request.url().query_pairs() {
             match &*name {
                 "slowdown" => state.slowdown = value.parse().unwrap_or(1),
+                "bad_version" => state.bad_version.0 = value.into_owned(),
+                "fail_percent" => state.bad_version.1 = value.parse().unwrap_or(0),
                 _ => return Response::new(StatusCode::BadRequest),
             }
         }
@@ -131,7 +145,7 @@
             "dispatched": state.dispatches.len(),
             "dispatched_twice": state.dispatched_twice(),
             "tickets": state.dispatches.keys().collect::<Vec<_>>(),
-            "version": state.version,
+            "versions": state.versions,
         }))
     }
 }
@@ -146,6 +160,9 @@
             (Method::Get, None) if path == "/v1/load" => {
                 Some(json_page(&self.state.borrow().report()))
             }
+            (Method::Get, None) if path == "/v1/versions" => {
+                Some(json_page(&self.state.borrow().versions))
+            }
             (Method::Post, None) if path == "/v1/orders" => Some(self.order(&request)),
             (Method::Post, None) if path == "/fault" => Some(self.fault(&request)),
             (Method::Get, None) if path == "/stats" => Some(self.stats()),
--- a/kwg-standin/src/engine/engine_state.rs
+++ b/kwg-standin/src/engine/engine_state.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
@@ -14,7 +14,9 @@
 #[derive(Debug)]
 pub(super) struct EngineState {
     pub(super) options: EngineOptions,
-    pub(super) version: String,
+    pub(super) versions: BTreeSet<String>,
+    /// The version that fails, and how often in a hundred.
+    pub(super) bad_version: (String, u32),
     pub(super) fence: u64,
     pub(super) streams: BTreeMap<String, StreamCell>,
     pub(super) dispatches: BTreeMap<String, u32>,
@@ -27,13 +29,14 @@
 #[derive(Debug, Clone, Default, Serialize)]
 pub(super) struct LoadReport {
     pub(super) running: usize,
-    pub(super) version: String,
+    pub(super) versions: BTreeSet<String>,
 }
 
 impl EngineState {
     pub(super) fn new(options: EngineOptions) -> Self {
         Self {
-            version: options.version.clone(),
+            versions: BTreeSet::from([options.version.clone()]),
+            bad_version: (String::new(), 0),
             fence: 0,
             streams: BTreeMap::new(),
             dispatches: BTreeMap::new(),
@@ -73,7 +76,7 @@
                 state.step(now);
             }
         }
-        let report = LoadReport { running: running as usize, version: self.version.clone() };
+        let report = LoadReport { running: running as usize, versions: self.versions.clone() };
         self.reports.push_back((now, report));
         while self.reports.len() > 1
             && now.duration_since(self.reports[1].0) >= self.options.report_lag
--- a/kwg-target/src/target_client.rs
+++ b/kwg-target/src/target_client.rs
@@ -6,7 +6,7 @@
 use kwg_clock::ClockHandle;
 use kwg_flow::{DispatchOrder, ResumeOrder, TargetEvent};
 use kwg_http::{CallClient, CallError, SocketStream, WholeBody};
-use kwg_model::{ByteChunk, PoolKind, TicketKey};
+use kwg_model::{ByteChunk, PoolKind, TicketKey, VersionName};
 use kwg_telemetry::HybridClock;
 use snafu::{ResultExt, ensure};
 
@@ -96,6 +96,22 @@
         }
     }
 
+    /// Orders a target to load a version, and reads back whether it has. Safe to repeat.
+    pub async fn load(&self, address: SocketAddr, fence: u64, version: &VersionName) -> bool {
+        let client = self.call_client(address);
+        let path = format!("/v1/orders?fence={fence}&version={version}");
+        let call = async |method, path: &str| {
+            let reply = client.call(client.request(method, path).ok()?).await.ok()?;
+            (reply.status == StatusCode::Ok).then_some(reply.body)
+        };
+        if call(Method::Post, &path).await.is_none() {
+            return false;
+        }
+        let loaded = call(Method::Get, "/v1/versions").await.unwrap_or_default();
+        let loaded: Vec<VersionName> = serde_json::from_slice(&loaded).unwrap_or_default();
+        loaded.contains(version)
+    }
+
     fn call_client(&self, address: SocketAddr) -> CallClient {
         CallClient::new(address, self.options.connect_timeout, self.clock.clone())
     }
--- a/kwg-telemetry/src/event_line.rs
+++ b/kwg-telemetry/src/event_line.rs
@@ -97,6 +97,20 @@
                 line.field("request", request)
             }
             ControlEvent::Ready => line,
+            ControlEvent::Leadership { fence } => line.optional("fence", *fence),
+            ControlEvent::Braked { pool, version, evidence } => {
+                line.field("pool", pool).field("version", version).field("evidence", evidence)
+            }
+            ControlEvent::MoveStep { pool, row } => {
+                let line = line.field("pool", pool).field("to", &row.to);
+                let line = line.field("phase", format!("{:?}", row.phase).to_lowercase());
+                let reason = row.verdict.as_ref().map(|verdict| &verdict.reason);
+                let evidence = row.verdict.as_ref().map(|verdict| &verdict.evidence);
+                line.optional("reason", reason).optional("evidence", evidence)
+            }
+            ControlEvent::Poisoned { fingerprint } => {
+                line.field("fingerprint", format!("{fingerprint:016x}"))
+            }
             ControlEvent::LedgerMoved { home, successor } => {
                 line.field("home", home).field("successor", successor)
             }
