--- a/kwg-bench/src/fleet/fleet_harness.rs
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -42,6 +42,7 @@
     platform_address: SocketAddr,
     engine_addresses: Vec<SocketAddr>,
     service_address: SocketAddr,
+    binary: PathBuf,
     dir: PathBuf,
 }
 
@@ -82,6 +83,7 @@
             platform_address,
             engine_addresses,
             service_address,
+            binary: router.clone(),
             dir,
         };
         harness.wait_for(platform_address, "/stats");
@@ -127,6 +129,35 @@
         drop(block_on(client.call(request.expect("a valid path"))));
     }
 
+    /// Switches a fault of every engine, given as a query.
+    pub fn fault_engines(&self, query: &str) {
+        for address in &self.engine_addresses {
+            let client = client(*address);
+            let request = client.request(Method::Post, format!("/fault?{query}"));
+            drop(block_on(client.call(request.expect("a valid path"))));
+        }
+    }
+
+    /// Runs the shipped command `tables` and gives what it prints.
+    #[must_use]
+    pub fn tables(&self, words: &[&str]) -> String {
+        let platform = self.platform_address.to_string();
+        let output = std::process::Command::new(&self.binary)
+            .arg("tables")
+            .args(words)
+            .args(["--tables", &platform])
+            .output();
+        let output = output.expect("the binary has been built");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    /// What `tables status` prints.
+    #[must_use]
+    pub fn tables_status(&self) -> String {
+        let platform = self.platform_address.to_string();
+        self.tables(&["status", "--instances", &platform])
+    }
+
     /// Whether a router says that it is ready.
     #[must_use]
     pub fn is_ready(&self, router: usize) -> bool {
