feat(kwg-decide): limits in streams beside tokens, parts of limits that add up

Cause: with limits in tokens alone and floors of ninths of them, a summary filled a router's part of a target for half a minute, and nothing overtakes the head of the queue. What keeps the pace between tokens is the number of streams, not their lengths; tokens stay as the limit of memory. What does not divide goes to other cores for each target, so that no part is lost.

--- a/kwg-bench/src/main.rs
+++ b/kwg-bench/src/main.rs
@@ -5,7 +5,8 @@
 use std::process::ExitCode;
 
 use kwg_bench::{
-    JudgeKind, KillProof, KillTally, MoveTally, OverheadProof, ShutdownProof, VersionKind,
+    JudgeKind, KillProof, KillTally, MoveTally, OverheadProof, PolicyKind, PolicyTally,
+    PolicyTrial, ShutdownProof, VersionKind,
 };
 use pico_args::{Arguments, Error};
 
@@ -15,6 +16,7 @@
 USAGE: kwg-bench kills    [--seed 1..20]
        kwg-bench shutdown [--restarts N]
        kwg-bench overhead [--seconds N] [--rate N]
+       kwg-bench policy   [--seed 1..20]
        kwg-bench moves    [--seed 1..200]
 ";
 
@@ -54,6 +56,10 @@
             lines.iter().for_each(|line| println!("{line}"));
             Ok(true)
         }
+        Some("policy") => {
+            let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
+            Ok(policy(&parse_seeds(&seeds.unwrap_or("1..20".to_owned()))))
+        }
         Some("moves") => {
             let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
             Ok(moves(&parse_seeds(&seeds.unwrap_or("1..200".to_owned()))))
@@ -109,3 +115,26 @@
     }
     holds
 }
+
+fn policy(seeds: &[u64]) -> bool {
+    let mut holds = true;
+    for faults in [false, true] {
+        println!(
+            "\n## {}\n\nGoodput by tier in percent of what was offered, tier 0 first.\n\n\
+             | load | policy | 0 | 1 | 2 | 3 | 4 | shed | inversions | wasted prefill % | \
+             first token p95 ms | between tokens p95 ms |\n|---|---|---|---|---|---|---|---|---|---|---|---|",
+            if faults { "One engine dead, one a straggler" } else { "All engines well" }
+        );
+        for load in [0.7, 1.0, 1.5, 2.5] {
+            for policy in PolicyKind::ALL {
+                let mut tally = PolicyTally::default();
+                for seed in seeds {
+                    tally.add(&PolicyTrial { seed: *seed, load, policy, faults }.run());
+                }
+                println!("| {load} | {policy:?} |{tally}");
+                holds &= policy != PolicyKind::Product || tally.inversions == 0;
+            }
+        }
+    }
+    holds
+}
--- a/kwg-bench/src/moves/move_trial.rs
+++ b/kwg-bench/src/moves/move_trial.rs
@@ -193,6 +193,7 @@
         domain: kwg_model::DomainName::new("ms-a").expect("a valid name"),
         region: kwg_model::RegionName::new("mid-south").expect("a valid name"),
         limit_tokens: 1_000,
+        limit_streams: 100,
         version: version("v1"),
         heeds_fencing: true,
     };
--- /dev/null
+++ b/kwg-bench/src/policy/fake_engine.rs
@@ -0,0 +1,90 @@
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+/// Decoding speed of one stream on an engine with few of them, in tokens a second.
+const STREAM_SPEED: f64 = 40.0;
+/// Prompt tokens that an engine prefills in a second.
+const PREFILL_SPEED: f64 = 8_000.0;
+/// How old an engine's reports are.
+pub(super) const REPORT_LAG: Duration = Duration::from_millis(500);
+
+/// An engine that batches continuously: streams share its speed, prompts go first.
+#[derive(Debug)]
+pub(super) struct FakeEngine {
+    /// Tokens that it decodes in a second, over all streams.
+    speed: f64,
+    pub(super) is_dead: bool,
+    streams: Vec<FakeStream>,
+    /// The load as it was, for reports that lag.
+    reports: Vec<(MonoTime, f64)>,
+}
+
+#[derive(Debug)]
+struct FakeStream {
+    id: usize,
+    prompt_left: f64,
+    answer_left: f64,
+    has_begun: bool,
+}
+
+/// What happened to a stream in a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamEvent {
+    FirstToken(usize),
+    End(usize),
+}
+
+impl FakeEngine {
+    pub(super) fn new(speed: f64) -> Self {
+        Self { speed, is_dead: false, streams: Vec::new(), reports: vec![(MonoTime::ZERO, 0.0)] }
+    }
+
+    pub(super) fn start(&mut self, id: usize, prompt: u32, answer: u32) {
+        self.streams.push(FakeStream {
+            id,
+            prompt_left: f64::from(prompt),
+            answer_left: f64::from(answer),
+            has_begun: false,
+        });
+    }
+
+    pub(super) fn step(&mut self, now: MonoTime, span: Duration) -> Vec<StreamEvent> {
+        let seconds = span.as_secs_f64();
+        let mut prefill = PREFILL_SPEED * seconds;
+        let decoding = self.streams.iter().filter(|stream| stream.prompt_left <= 0.0).count();
+        let each = STREAM_SPEED.min(self.speed / decoding.max(1) as f64) * seconds;
+        let mut events = Vec::new();
+        for stream in &mut self.streams {
+            if stream.prompt_left > 0.0 {
+                let done = prefill.min(stream.prompt_left);
+                stream.prompt_left -= done;
+                prefill -= done;
+                continue;
+            }
+            if !stream.has_begun {
+                stream.has_begun = true;
+                events.push(StreamEvent::FirstToken(stream.id));
+            }
+            stream.answer_left -= each;
+            if stream.answer_left <= 0.0 {
+                events.push(StreamEvent::End(stream.id));
+            }
+        }
+        self.streams.retain(|stream| stream.answer_left > 0.0);
+        let load = self.streams.iter().map(|stream| stream.answer_left).sum();
+        self.reports.push((now, load));
+        self.reports.drain(..self.report_place(now));
+        events
+    }
+
+    /// The load of the last report, in tokens.
+    pub(super) fn reported(&self, now: MonoTime) -> f64 {
+        self.reports[self.report_place(now)].1
+    }
+
+    fn report_place(&self, now: MonoTime) -> usize {
+        let old = self.reports.iter().rposition(|(at, _)| now.since(*at) >= REPORT_LAG);
+        old.unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/kwg-bench/src/policy/policy_trial.rs
@@ -0,0 +1,388 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kwg_flow::{
+    CallerKey, CallerReply, EventKind, TargetEvent, TrafficCore, TrafficIdentity, TrafficInput,
+    TrafficOptions, TrafficOutput,
+};
+use kwg_model::{
+    AccountName, ByteChunk, CallOutcome, CallSubmission, DomainName, FleetSnapshot, HomeAddress,
+    InstanceName, MonoTime, NotRunReason, PeerView, PoolKind, PoolName, PoolRow, RegionName,
+    RouteName, RouteRow, ServiceTier, TableSet, TargetName, TargetRow, TicketKey, VersionName,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::fake_engine::{FakeEngine, StreamEvent};
+use super::{LoadRequest, PolicyKind, PolicyTally, WorkLoad};
+
+/// Length of a trial's step: events are as fine as this.
+const STEP: Duration = Duration::from_millis(10);
+/// How long requests arrive.
+const SPAN: Duration = Duration::from_secs(60);
+/// How long what was accepted may take after that.
+const TAIL: Duration = Duration::from_secs(60);
+/// Routers and engines, as one of the users runs them today.
+const ROUTERS: usize = 9;
+/// Speeds of the engines, in tokens a second: three hardware generations.
+const SPEEDS: [f64; 9] = [900.0, 900.0, 900.0, 700.0, 700.0, 700.0, 500.0, 500.0, 500.0];
+/// Speed of a straggler, as a part of what it should be.
+const STRAGGLER: f64 = 0.25;
+/// Slowest pace of tokens that counts as good, in seconds between two.
+const PACE_LIMIT: f64 = 0.034;
+/// Work that an engine's memory holds, for each token a second of its speed.
+const MEMORY_SECONDS: f64 = 100.0;
+
+/// One run of one policy.
+#[derive(Debug, Clone, Copy)]
+pub struct PolicyTrial {
+    /// The seed of the work load and of everything random.
+    pub seed: u64,
+    /// Offered load, as a multiple of what the engines bear.
+    pub load: f64,
+    /// Who decides.
+    pub policy: PolicyKind,
+    /// Whether one engine is dead and another a straggler.
+    pub faults: bool,
+}
+
+/// What is known of a request during a trial.
+#[derive(Debug, Clone, Default)]
+struct RequestState {
+    first_token: Option<MonoTime>,
+    ended: Option<MonoTime>,
+    prefilled: bool,
+    shed: bool,
+}
+
+struct TrialState {
+    requests: Vec<LoadRequest>,
+    states: Vec<RequestState>,
+    engines: Vec<FakeEngine>,
+    tally: PolicyTally,
+}
+
+impl PolicyTrial {
+    /// Runs the trial.
+    #[must_use]
+    pub fn run(&self) -> PolicyTally {
+        let speed: f64 = SPEEDS.iter().sum();
+        let rate = self.load * speed / WorkLoad::mean_tokens();
+        let requests = WorkLoad::draw(self.seed, rate, SPAN);
+        let mut engines: Vec<FakeEngine> =
+            SPEEDS.iter().map(|speed| FakeEngine::new(*speed)).collect();
+        if self.faults {
+            engines[0].is_dead = true;
+            engines[3] = FakeEngine::new(SPEEDS[3] * STRAGGLER);
+        }
+        let states = vec![RequestState::default(); requests.len()];
+        let mut state = TrialState { requests, states, engines, tally: PolicyTally::default() };
+        match self.policy {
+            PolicyKind::Product => ProductRun::new(self.seed).run(&mut state),
+            policy => run_baseline(policy, self.seed, &mut state),
+        }
+        state.finish()
+    }
+}
+
+impl TrialState {
+    fn finish(mut self) -> PolicyTally {
+        for (request, state) in self.requests.iter().zip(&self.states) {
+            let tier = usize::from(request.tier);
+            self.tally.offered[tier] += 1;
+            self.tally.shed[tier] += u64::from(state.shed);
+            let mut is_good = false;
+            if let (Some(first), Some(ended)) = (state.first_token, state.ended) {
+                let wait = first.since(request.at);
+                let pace = ended.since(first).as_secs_f64() / f64::from(request.answer.max(1));
+                // Steps are coarse beside short answers.
+                is_good = wait <= request.patience + STEP && pace <= PACE_LIMIT;
+                let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+                self.tally.first_token.record(millis).expect("it grows");
+                self.tally.between.record((pace * 1e6) as u64).expect("it grows");
+            }
+            self.tally.good[tier] += u64::from(is_good);
+            if state.prefilled {
+                self.tally.prefill += u64::from(request.prompt);
+                self.tally.wasted += if is_good { 0 } else { u64::from(request.prompt) };
+            }
+        }
+        self.tally
+    }
+
+    /// Lets the engines work for a step.
+    fn step_engines(&mut self, now: MonoTime) -> Vec<StreamEvent> {
+        let mut events = Vec::new();
+        for engine in &mut self.engines {
+            events.extend(engine.step(now, STEP));
+        }
+        for event in &events {
+            match event {
+                StreamEvent::FirstToken(id) => self.states[*id].first_token = Some(now),
+                StreamEvent::End(id) => self.states[*id].ended = Some(now),
+            }
+        }
+        events
+    }
+
+    fn start(&mut self, id: usize, engine: usize) {
+        let LoadRequest { prompt, answer, .. } = self.requests[id];
+        self.states[id].prefilled = true;
+        self.engines[engine].start(id, prompt, answer);
+    }
+}
+
+/// Steps of a trial, with the requests that arrive in each.
+fn run_steps(state: &mut TrialState, mut step: impl FnMut(&mut TrialState, MonoTime, Vec<usize>)) {
+    let (mut now, mut next) = (MonoTime::ZERO, 0);
+    let end = MonoTime::ZERO + SPAN + TAIL;
+    while now < end {
+        now = now + STEP;
+        let mut arrivals = Vec::new();
+        while state.requests.get(next).is_some_and(|request| request.at <= now) {
+            arrivals.push(next);
+            next += 1;
+        }
+        step(state, now, arrivals);
+    }
+}
+
+fn run_baseline(policy: PolicyKind, seed: u64, state: &mut TrialState) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut turn = 0;
+    run_steps(state, |state, now, arrivals| {
+        state.step_engines(now);
+        for id in arrivals {
+            let live: Vec<usize> =
+                (0..state.engines.len()).filter(|engine| !state.engines[*engine].is_dead).collect();
+            let reported = |engine: &usize| state.engines[*engine].reported(now);
+            let engine = match policy {
+                PolicyKind::LeastReported => live
+                    .iter()
+                    .copied()
+                    .min_by(|left, right| reported(left).total_cmp(&reported(right)))
+                    .unwrap_or(0),
+                PolicyKind::TwoChoices => {
+                    let pick = |rng: &mut ChaCha8Rng| live[rng.random_range(0..live.len())];
+                    let (left, right) = (pick(&mut rng), pick(&mut rng));
+                    if reported(&left) <= reported(&right) { left } else { right }
+                }
+                _ => {
+                    turn += 1;
+                    live[turn % live.len()]
+                }
+            };
+            state.start(id, engine);
+        }
+    });
+}
+
+/// The product's traffic cores, with the engines and callers in the trial's hands.
+struct ProductRun {
+    cores: Vec<TrafficCore>,
+    /// The request behind each caller, and the router and ticket behind each request.
+    callers: BTreeMap<(usize, CallerKey), usize>,
+    tickets: BTreeMap<TicketKey, usize>,
+    running: BTreeMap<usize, (usize, TicketKey)>,
+}
+
+impl ProductRun {
+    fn new(seed: u64) -> Self {
+        let cores = (0..ROUTERS).map(|number| {
+            let identity = identity(number);
+            TrafficCore::new(identity, TrafficOptions::default(), seed * 100 + number as u64)
+        });
+        Self {
+            cores: cores.collect(),
+            callers: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    fn run(mut self, state: &mut TrialState) {
+        for number in 0..ROUTERS {
+            let fleet = Arc::new(fleet_of(number));
+            self.input(state, MonoTime::ZERO, number, TrafficInput::Fleet(fleet));
+        }
+        run_steps(state, |state, now, arrivals| {
+            for event in state.step_engines(now) {
+                self.on_stream(state, now, event);
+            }
+            for id in arrivals {
+                let router = id % ROUTERS;
+                let caller = CallerKey(id as u64 + 1);
+                self.callers.insert((router, caller), id);
+                let submission = Box::new(submission(&state.requests[id]));
+                self.input(state, now, router, TrafficInput::Submit { caller, submission });
+            }
+            for router in 0..ROUTERS {
+                if self.cores[router].next_wake(now).is_some_and(|wake| wake <= now) {
+                    self.input(state, now, router, TrafficInput::Tick);
+                }
+            }
+        });
+    }
+
+    fn on_stream(&mut self, state: &mut TrialState, now: MonoTime, event: StreamEvent) {
+        let (StreamEvent::FirstToken(id) | StreamEvent::End(id)) = event;
+        let Some((router, key)) = self.running.get(&id).cloned() else { return };
+        let event = match event {
+            StreamEvent::FirstToken(_) => {
+                TargetEvent::Part { offset: 0, chunk: ByteChunk::from(b"x".as_slice()) }
+            }
+            StreamEvent::End(_) => TargetEvent::End { length: 1 },
+        };
+        self.input(state, now, router, TrafficInput::Target { key, event });
+    }
+
+    fn input(&mut self, state: &mut TrialState, now: MonoTime, router: usize, input: TrafficInput) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.cores[router].step(now, input) {
+                match output {
+                    TrafficOutput::Reply { caller, reply } => {
+                        self.on_reply(state, router, caller, &reply);
+                    }
+                    TrafficOutput::Dispatch(order) => {
+                        let key = order.right.key().clone();
+                        let id = self.tickets[&key];
+                        let engine = engine_of(&order.target);
+                        if state.engines[engine].is_dead {
+                            let event = TargetEvent::NotStarted(order);
+                            inputs.push(TrafficInput::Target { key, event });
+                            continue;
+                        }
+                        state.start(id, engine);
+                        self.running.insert(id, (router, key));
+                    }
+                    TrafficOutput::Event(event) => {
+                        if let EventKind::Failed { outcome, tier } = event.kind {
+                            self.note_shed(state, router, outcome, tier);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn on_reply(
+        &mut self,
+        state: &mut TrialState,
+        router: usize,
+        caller: CallerKey,
+        reply: &CallerReply,
+    ) {
+        let Some(id) = self.callers.get(&(router, caller)).copied() else { return };
+        match reply {
+            CallerReply::Ticketed(ticket) => {
+                self.tickets.insert(ticket.key.clone(), id);
+            }
+            reply if reply.outcome().is_some() => state.states[id].shed = true,
+            _ => {}
+        }
+    }
+
+    /// Counts what was shed for lack of room while something less urgent waited.
+    fn note_shed(
+        &mut self,
+        state: &mut TrialState,
+        router: usize,
+        outcome: CallOutcome,
+        tier: Option<ServiceTier>,
+    ) {
+        let (CallOutcome::NotRun(NotRunReason::Overload), Some(tier)) = (outcome, tier) else {
+            return;
+        };
+        if self.cores[router].queued_below(tier) > 0 {
+            state.tally.inversions += 1;
+        }
+    }
+}
+
+fn name_of(number: usize) -> InstanceName {
+    InstanceName::new(format!("r{number}")).expect("a valid name")
+}
+
+fn region(number: usize) -> RegionName {
+    RegionName::new(if number % 3 == 2 { "west" } else { "ost" }).expect("a valid name")
+}
+
+fn identity(number: usize) -> TrafficIdentity {
+    let address = HomeAddress { instance: name_of(number), incarnation: 1, shard: 0 };
+    let domain = DomainName::new(format!("domain{}", number % 3)).expect("a valid name");
+    TrafficIdentity { address, domain, region: region(number), shards: 1 }
+}
+
+fn engine_of(target: &TargetName) -> usize {
+    target.as_str().trim_start_matches('e').parse().unwrap_or(0)
+}
+
+fn fleet_of(own: usize) -> FleetSnapshot {
+    let version = VersionName::new("v1").expect("a valid name");
+    let pool = PoolName::new("graz").expect("a valid name");
+    let targets = SPEEDS.iter().enumerate().map(|(number, speed)| TargetRow {
+        name: TargetName::new(format!("e{number}")).expect("a valid name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: DomainName::new(format!("domain{}", number % 3)).expect("a valid name"),
+        region: region(number),
+        limit_tokens: (speed * MEMORY_SECONDS) as u64,
+        limit_streams: (speed * PACE_LIMIT) as u64,
+        version: version.clone(),
+        heeds_fencing: true,
+    });
+    let pool_row = PoolRow {
+        name: pool.clone(),
+        kind: PoolKind::Engine,
+        version: version.clone(),
+        targets: targets.collect(),
+        version_move: None,
+    };
+    let route = RouteRow {
+        name: route(),
+        pool: pool.clone(),
+        tier: ServiceTier::new(0).expect("in range"),
+        deadline_ms: 600_000,
+    };
+    let peers = (0..ROUTERS).filter(|number| *number != own).map(|number| {
+        let TrafficIdentity { address, domain, region, shards } = identity(number);
+        let HomeAddress { instance, incarnation, .. } = address;
+        let view = PeerView { instance, incarnation, shards, domain, region, serving: true };
+        (view.instance.clone(), view)
+    });
+    FleetSnapshot {
+        tables: TableSet {
+            revision: 1,
+            routes: BTreeMap::from([(route.name.clone(), route)]),
+            pools: BTreeMap::from([(pool, pool_row)]),
+            ..TableSet::default()
+        },
+        peers: peers.collect(),
+        ..FleetSnapshot::default()
+    }
+}
+
+fn route() -> RouteName {
+    RouteName::new("all").expect("a valid name")
+}
+
+fn submission(request: &LoadRequest) -> CallSubmission {
+    const BYTES_PER_TOKEN: usize = 4;
+    let account = AccountName::new(format!("account{}", request.account));
+    CallSubmission {
+        account: account.expect("a valid name"),
+        route: route(),
+        ticket: None,
+        idempotency_key: None,
+        resume: None,
+        offset: 0,
+        tier: ServiceTier::new(request.tier),
+        deadline: Some(request.patience),
+        non_idempotent: false,
+        join_only: false,
+        max_tokens: request.answer,
+        body: ByteChunk::from(vec![b'x'; request.prompt as usize * BYTES_PER_TOKEN]),
+    }
+}
--- a/kwg-decide/src/lib.rs
+++ b/kwg-decide/src/lib.rs
@@ -21,7 +21,7 @@
     ClaimFailure, ClaimRight, Granting, HandedOver, Inherited, LedgerOptions, LedgerRoute,
     LedgerShelf, MintError, PendingClaim, Serving, TicketLedger,
 };
-pub use limit::{LoadGauge, LoadPermit};
+pub use limit::{LimitShare, LoadGauge, LoadPermit};
 pub use membership::{
     GraphMember, InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState, RosterOptions,
 };
--- a/kwg-decide/src/limit/load_gauge.rs
+++ b/kwg-decide/src/limit/load_gauge.rs
@@ -3,7 +3,7 @@
 
 use super::LoadPermit;
 
-/// The work in flight at one target, in tokens, as far as this core sent it.
+/// The work in flight at one target, in tokens and streams, as far as this core sent it.
 ///
 /// ```
 /// let gauge = kwg_decide::LoadGauge::default();
@@ -13,23 +13,37 @@
 /// assert_eq!(gauge.tokens(), 0);
 /// ```
 #[derive(Debug, Clone, Default)]
-pub struct LoadGauge(Arc<AtomicU64>);
+pub struct LoadGauge(Arc<LoadCounts>);
+
+#[derive(Debug, Default)]
+struct LoadCounts {
+    tokens: AtomicU64,
+    streams: AtomicU64,
+}
 
 impl LoadGauge {
     /// Counts work as in flight until the permit is dropped.
     #[must_use]
     pub fn acquire(&self, tokens: u64) -> LoadPermit {
-        self.0.fetch_add(tokens, Ordering::Relaxed);
+        self.0.tokens.fetch_add(tokens, Ordering::Relaxed);
+        self.0.streams.fetch_add(1, Ordering::Relaxed);
         LoadPermit::new(self.clone(), tokens)
     }
 
     /// The work in flight.
     #[must_use]
     pub fn tokens(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.0.tokens.load(Ordering::Relaxed)
+    }
+
+    /// The streams in flight.
+    #[must_use]
+    pub fn streams(&self) -> u64 {
+        self.0.streams.load(Ordering::Relaxed)
     }
 
     pub(super) fn release(&self, tokens: u64) {
-        self.0.fetch_sub(tokens, Ordering::Relaxed);
+        self.0.tokens.fetch_sub(tokens, Ordering::Relaxed);
+        self.0.streams.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/kwg-decide/src/placement/placement_request.rs
+++ b/kwg-decide/src/placement/placement_request.rs
@@ -1,5 +1,7 @@
 use kwg_model::{FleetSnapshot, MonoTime, PoolRow, RegionName};
 
+use crate::LimitShare;
+
 /// What placement looks at for one request.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
@@ -13,6 +15,6 @@
     pub region: &'a RegionName,
     /// The expected work, in tokens.
     pub cost_tokens: u64,
-    /// How many cores share the limit of each target.
-    pub share_of: u64,
+    /// This core's part of the limit of each target.
+    pub share: LimitShare,
 }
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -107,11 +107,14 @@
         if request.fleet.leaving.contains(&row.name) {
             return false;
         }
-        let share = row.limit_tokens / request.share_of.max(1);
         let health = self.health(request.pool, &row.name);
-        let in_flight = health.gauge.tokens();
+        let (tokens, streams) = (health.gauge.tokens(), health.gauge.streams());
+        let salt = u64::from(row.address.port()) + row.name.as_str().len() as u64;
+        let token_share = request.share.of(row.limit_tokens, salt);
+        let stream_share = request.share.of(row.limit_streams, salt).max(1);
         request.now >= health.paused_until
-            && (in_flight == 0 || in_flight + request.cost_tokens <= share)
+            && (streams == 0
+                || (streams < stream_share && tokens + request.cost_tokens <= token_share))
     }
 
     fn expected(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> f64 {
--- a/kwg-decide/src/queue/tier_queue.rs
+++ b/kwg-decide/src/queue/tier_queue.rs
@@ -109,6 +109,12 @@
         self.entries.is_empty()
     }
 
+    /// How many entries of lower tiers than this one wait.
+    #[must_use]
+    pub fn len_below(&self, tier: ServiceTier) -> usize {
+        self.tiers[tier.index() + 1..].iter().map(|lanes| lanes.count).sum()
+    }
+
     /// The work that waits in a tier, in tokens.
     #[must_use]
     pub fn tier_tokens(&self, tier: ServiceTier) -> u64 {
--- a/kwg-flow/src/filter/flow_context.rs
+++ b/kwg-flow/src/filter/flow_context.rs
@@ -1,3 +1,4 @@
+use kwg_decide::LimitShare;
 use kwg_model::{FleetSnapshot, HomeAddress, MonoTime};
 
 use crate::{TrafficIdentity, TrafficOptions};
@@ -12,9 +13,15 @@
 }
 
 impl FlowContext<'_> {
-    /// How many traffic cores share the limit of each target.
-    pub(crate) fn sharing_cores(&self) -> u64 {
-        self.fleet.router_count() * u64::from(self.identity.shards)
+    /// This core's part of the limit of each target.
+    pub(crate) fn limit_share(&self) -> LimitShare {
+        let (own, shards) = (&self.identity.address, u64::from(self.identity.shards));
+        let before = self.fleet.peers.values().filter(|peer| peer.serving);
+        let before = before.filter(|peer| peer.instance < own.instance).count() as u64;
+        LimitShare {
+            cores: self.fleet.router_count() * shards,
+            place: before * shards + u64::from(own.shard),
+        }
     }
 
     /// Whether the address's run of its instance is this one or was heard from lately.
--- a/kwg-flow/src/filter/place_filter.rs
+++ b/kwg-flow/src/filter/place_filter.rs
@@ -32,7 +32,7 @@
             pool: context.fleet.tables.pools.get(pool)?,
             region: &context.identity.region,
             cost_tokens,
-            share_of: context.sharing_cores(),
+            share: context.limit_share(),
         };
         self.book.choose(&request, &mut self.rng)
     }
--- a/kwg-flow/src/filter/queue_filter.rs
+++ b/kwg-flow/src/filter/queue_filter.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use kwg_decide::{QueueEntry, QueueOptions, QueueVerdict, TierQueue};
-use kwg_model::{MonoTime, PoolName};
+use kwg_model::{MonoTime, PoolName, ServiceTier};
 
 use crate::{Admitted, RequestFlow};
 
@@ -63,6 +63,11 @@
         self.pools.values().filter_map(TierQueue::next_deadline).min()
     }
 
+    /// How many requests of lower tiers than this one wait.
+    pub(crate) fn len_below(&self, tier: ServiceTier) -> usize {
+        self.pools.values().map(|queue| queue.len_below(tier)).sum()
+    }
+
     /// How many requests wait.
     pub(crate) fn len(&self) -> usize {
         self.pools.values().map(TierQueue::len).sum()
--- a/kwg-flow/src/traffic/traffic_core.rs
+++ b/kwg-flow/src/traffic/traffic_core.rs
@@ -3,7 +3,7 @@
 
 use kwg_model::{
     AccountName, CallSubmission, DispatchTicket, FleetSnapshot, HomeAddress, MonoTime,
-    NotRunReason, ResumeToken, TicketKey,
+    NotRunReason, ResumeToken, ServiceTier, TicketKey,
 };
 
 use super::traffic_pipeline::TrafficPipeline;
@@ -116,6 +116,12 @@
         self.pipeline.queued()
     }
 
+    /// How many requests of lower tiers than this one wait for room.
+    #[must_use]
+    pub fn queued_below(&self, tier: ServiceTier) -> usize {
+        self.pipeline.queued_below(tier)
+    }
+
     /// How many answers have not ended.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/kwg-flow/src/traffic/traffic_pipeline.rs
+++ b/kwg-flow/src/traffic/traffic_pipeline.rs
@@ -289,6 +289,11 @@
         self.queue.len() + self.replacing.len()
     }
 
+    /// How many requests of lower tiers than this one wait for room.
+    pub(crate) fn queued_below(&self, tier: ServiceTier) -> usize {
+        self.queue.len_below(tier)
+    }
+
     /// How many records of tickets and answers there are.
     pub(crate) fn record_count(&self) -> usize {
         self.claim.entry_count() + self.claim.waiting() + self.relay.len()
--- a/kwg-flow/tests/support/mod.rs
+++ b/kwg-flow/tests/support/mod.rs
@@ -68,6 +68,7 @@
         domain: DomainName::new("ost-graz").expect("valid"),
         region: RegionName::new("ost").expect("valid"),
         limit_tokens,
+        limit_streams: 1_000,
         version: VersionName::new("v1").expect("valid"),
         heeds_fencing: true,
     }
--- a/kwg-model/src/target_row.rs
+++ b/kwg-model/src/target_row.rs
@@ -15,8 +15,10 @@
     pub domain: DomainName,
     /// The region it stands in.
     pub region: RegionName,
-    /// Most work in flight over all routers, in tokens.
+    /// Most work in flight over all routers, in tokens: what its memory holds.
     pub limit_tokens: u64,
+    /// Most streams at once over all routers: with more, tokens come too slowly.
+    pub limit_streams: u64,
     /// The version it serves.
     pub version: VersionName,
     /// Whether it refuses orders that carry an old fencing number.
--- a/kwg-settings/src/table_files.rs
+++ b/kwg-settings/src/table_files.rs
@@ -81,10 +81,11 @@
 }
 
 fn target_text(pool: &PoolName, target: &TargetRow) -> String {
-    let TargetRow { name, address, domain, region, limit_tokens, version, heeds_fencing } = target;
+    let TargetRow { name, address, domain, region, version, heeds_fencing, .. } = target;
+    let (limit_tokens, limit_streams) = (target.limit_tokens, target.limit_streams);
     format!(
         "[{pool}/{name}]\naddress = {address}\ndomain = {domain}\nregion = {region}\n\
-         limit_tokens = {limit_tokens}\nversion = {version}\nheeds_fencing = {heeds_fencing}\n\n"
+         limit_tokens = {limit_tokens}\nlimit_streams = {limit_streams}\nversion = {version}\nheeds_fencing = {heeds_fencing}\n\n"
     )
 }
 
@@ -151,6 +152,9 @@
     Ok(())
 }
 
+/// Streams of a target for which the table names no limit.
+const STREAMS_DEFAULT: u64 = 256;
+
 fn read_target(
     reader: SectionReader<'_>,
     name: TargetName,
@@ -162,6 +166,7 @@
         domain: reader.value("domain", None)?,
         region: reader.value("region", None)?,
         limit_tokens: reader.number("limit_tokens", 1..=1 << 40, None)?,
+        limit_streams: reader.number("limit_streams", 1..=1 << 20, Some(STREAMS_DEFAULT))?,
         version: reader.value("version", Some(version.clone()))?,
         heeds_fencing: reader.value("heeds_fencing", Some(false))?,
     })
