feat(kwg-decide): streams kept free for upper tiers, stragglers get probes only

Cause: at 2.5 times capacity tier 0 needs 0.38 of it, and yet a third came too late: all streams were held by summaries of lower tiers that had begun before, and one came free too seldom for 1.1 s of patience. Ruled out: order (0 inversions), parts of limits (they add up).

--- a/kwg-decide/src/placement/placement_request.rs
+++ b/kwg-decide/src/placement/placement_request.rs
@@ -1,4 +1,4 @@
-use kwg_model::{FleetSnapshot, MonoTime, PoolRow, RegionName};
+use kwg_model::{FleetSnapshot, MonoTime, PoolRow, RegionName, ServiceTier};
 
 use crate::LimitShare;
 
@@ -13,6 +13,8 @@
     pub pool: &'a PoolRow,
     /// The region of this router.
     pub region: &'a RegionName,
+    /// The tier of the request.
+    pub tier: ServiceTier,
     /// The expected work, in tokens.
     pub cost_tokens: u64,
     /// This core's part of the limit of each target.
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -34,7 +34,13 @@
         let pool = request.pool;
         let version = VersionSplit::choose(request.fleet, pool, rng);
         let serving = pool.targets.iter().filter(|row| VersionSplit::serves(pool, row, version));
-        let ready: Vec<&TargetRow> = serving.filter(|row| self.has_room(request, row)).collect();
+        let serving: Vec<&TargetRow> = serving.collect();
+        if !self.leaves_reserve(request, &serving) {
+            return None;
+        }
+        let slow = self.slow_speed(request, &serving);
+        let ready = serving.into_iter().filter(|row| self.has_room(request, row, slow));
+        let ready: Vec<&TargetRow> = ready.collect();
         let first = pick(&ready, rng)?;
         let second = pick(&ready, rng)?;
         let filled = VersionSplit::filled_first(pool);
@@ -103,18 +109,58 @@
             .or_insert_with(|| TargetHealth::new(speed))
     }
 
-    fn has_room(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> bool {
+    /// Whether the pool has enough free streams for a request of this tier: some are kept for
+    /// the tiers above it, so that urgent requests find room at once.
+    fn leaves_reserve(&mut self, request: &PlacementRequest<'_>, rows: &[&TargetRow]) -> bool {
+        let percent = self.options.reserve_percent[request.tier.index()];
+        if percent == 0 {
+            return true;
+        }
+        let (mut total, mut used) = (0, 0);
+        for row in rows {
+            total += stream_share(request, row);
+            used += self.health(request.pool, &row.name).gauge.streams();
+        }
+        used == 0 || total.saturating_sub(used) * 100 > total * percent
+    }
+
+    /// The speed below which a target of the pool is a straggler, once enough are known.
+    fn slow_speed(&mut self, request: &PlacementRequest<'_>, rows: &[&TargetRow]) -> f64 {
+        const KNOWN_MIN: usize = 3;
+        let samples = self.options.speed_samples;
+        let mut speeds: Vec<f64> = Vec::new();
+        for row in rows {
+            let health = self.health(request.pool, &row.name);
+            if health.samples >= samples {
+                speeds.push(health.tokens_per_second);
+            }
+        }
+        if speeds.len() < KNOWN_MIN {
+            return 0.0;
+        }
+        speeds.sort_by(f64::total_cmp);
+        speeds[speeds.len() / 2] * self.options.straggler_percent / 100.0
+    }
+
+    fn has_room(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        row: &TargetRow,
+        slow_speed: f64,
+    ) -> bool {
         if request.fleet.leaving.contains(&row.name) {
             return false;
         }
+        let samples = self.options.speed_samples;
+        let token_share = request.share.of(row.limit_tokens, salt(row));
+        let stream_share = stream_share(request, row);
         let health = self.health(request.pool, &row.name);
         let (tokens, streams) = (health.gauge.tokens(), health.gauge.streams());
-        let salt = u64::from(row.address.port()) + row.name.as_str().len() as u64;
-        let token_share = request.share.of(row.limit_tokens, salt);
-        let stream_share = request.share.of(row.limit_streams, salt).max(1);
-        request.now >= health.paused_until
-            && (streams == 0
-                || (streams < stream_share && tokens + request.cost_tokens <= token_share))
+        // A straggler gets one request at a time, by which it is known to have recovered.
+        let is_slow = health.samples >= samples && health.tokens_per_second < slow_speed;
+        let has_stream = streams < if is_slow { 1 } else { stream_share };
+        let has_tokens = streams == 0 || tokens + request.cost_tokens <= token_share;
+        request.now >= health.paused_until && has_stream && has_tokens
     }
 
     fn expected(&mut self, request: &PlacementRequest<'_>, row: &TargetRow) -> f64 {
@@ -127,3 +173,13 @@
 fn pick<'a>(rows: &[&'a TargetRow], rng: &mut impl Rng) -> Option<&'a TargetRow> {
     (!rows.is_empty()).then(|| rows[rng.random_range(0..rows.len())])
 }
+
+/// Spreads what does not divide over the cores, another way for each target.
+fn salt(row: &TargetRow) -> u64 {
+    u64::from(row.address.port()) + row.name.as_str().bytes().map(u64::from).sum::<u64>()
+}
+
+/// This core's part of a target's streams. With many cores it may be none at some targets.
+fn stream_share(request: &PlacementRequest<'_>, row: &TargetRow) -> u64 {
+    request.share.of(row.limit_streams, salt(row))
+}
--- a/kwg-decide/src/placement/target_health.rs
+++ b/kwg-decide/src/placement/target_health.rs
@@ -13,6 +13,7 @@
     pub(super) gauge: LoadGauge,
     pub(super) tokens_per_second: f64,
     pub(super) paused_until: MonoTime,
+    pub(super) samples: u32,
 }
 
 impl TargetHealth {
@@ -21,6 +22,7 @@
             gauge: LoadGauge::default(),
             tokens_per_second: tokens_per_second as f64,
             paused_until: MonoTime::ZERO,
+            samples: 0,
         }
     }
 
@@ -28,6 +30,10 @@
     pub(super) fn observe(&mut self, tokens: u64, span: Duration) {
         let seconds = span.as_secs_f64().max(0.001);
         let sample = tokens as f64 / seconds;
+        if self.samples == 0 {
+            self.tokens_per_second = sample;
+        }
+        self.samples = self.samples.saturating_add(1);
         self.tokens_per_second += SPEED_WEIGHT * (sample - self.tokens_per_second);
     }
 
--- a/kwg-flow/src/filter/place_filter.rs
+++ b/kwg-flow/src/filter/place_filter.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use kwg_decide::{PlacementOptions, PlacementRequest, TargetBook, TargetChoice};
-use kwg_model::{FleetSnapshot, MonoTime, PoolName, TargetName};
+use kwg_model::{FleetSnapshot, MonoTime, PoolName, ServiceTier, TargetName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -24,6 +24,7 @@
         &mut self,
         context: &FlowContext<'_>,
         pool: &PoolName,
+        tier: ServiceTier,
         cost_tokens: u64,
     ) -> Option<TargetChoice> {
         let request = PlacementRequest {
@@ -31,6 +32,7 @@
             fleet: context.fleet,
             pool: context.fleet.tables.pools.get(pool)?,
             region: &context.identity.region,
+            tier,
             cost_tokens,
             share: context.limit_share(),
         };
--- a/kwg-flow/src/request/request_flow.rs
+++ b/kwg-flow/src/request/request_flow.rs
@@ -240,6 +240,12 @@
         &self.stage.admitted.pool
     }
 
+    /// The tier.
+    #[must_use]
+    pub fn tier(&self) -> ServiceTier {
+        self.stage.admitted.tier
+    }
+
     /// When the request is of no more use.
     #[must_use]
     pub fn deadline(&self) -> MonoTime {
--- a/kwg-flow/src/traffic/traffic_options.rs
+++ b/kwg-flow/src/traffic/traffic_options.rs
@@ -3,7 +3,7 @@
 use kwg_decide::{LedgerOptions, PlacementOptions, QueueOptions};
 
 /// Limits and waiting times of a traffic core.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TrafficOptions {
     /// Limits of the ledger.
     pub ledger: LedgerOptions,
--- a/kwg-flow/src/traffic/traffic_pipeline.rs
+++ b/kwg-flow/src/traffic/traffic_pipeline.rs
@@ -55,7 +55,7 @@
     pub(crate) fn pump(&mut self, context: &FlowContext<'_>, pipe: &mut FlowPipe<'_>) {
         for _ in 0..self.replacing.len() {
             let Some(flow) = self.replacing.pop_front() else { break };
-            match self.place.apply(context, flow.pool(), flow.cost_tokens()) {
+            match self.place.apply(context, flow.pool(), flow.tier(), flow.cost_tokens()) {
                 Some(choice) => self.dispatch(context, flow.place_again(choice), pipe),
                 None => self.replacing.push_back(flow),
             }
@@ -64,7 +64,7 @@
             loop {
                 let mut choice = None;
                 let next = self.queue.pop(&pool, |flow| {
-                    choice = self.place.apply(context, &pool, flow.cost_tokens());
+                    choice = self.place.apply(context, &pool, flow.tier(), flow.cost_tokens());
                     choice.is_some()
                 });
                 let (Some(flow), Some(choice)) = (next, choice) else { break };
