feat(kwg-decide): pauses of dead targets double, and count as no reserve

Cause: a dead target's streams always looked free, so lower tiers filled what was meant to be kept; and every router tried it again each half second.

--- a/kwg-decide/src/placement/placement_options.rs
+++ b/kwg-decide/src/placement/placement_options.rs
@@ -5,8 +5,10 @@
 /// Settings of placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementOptions {
-    /// How long a target that refused a connection gets no work.
+    /// How long a target that refused a connection gets no work, doubled with each refusal.
     pub refusal_pause: Duration,
+    /// The longest such pause.
+    pub longest_pause: Duration,
     /// Speed assumed of a target that has not answered yet, in tokens a second.
     pub initial_tokens_per_second: u64,
     /// Part of a pool's streams that each tier leaves free for the tiers above it, in percent.
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             refusal_pause: Duration::from_millis(500),
+            longest_pause: Duration::from_secs(8),
             initial_tokens_per_second: 400,
             reserve_percent: [0, 8, 16, 16, 16],
             straggler_percent: 50.0,
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -69,9 +69,11 @@
 
     /// Notes that a target refused a connection: it gets no work for a while.
     pub fn note_refusal(&mut self, now: MonoTime, pool: &PoolName, target: &TargetName) {
-        let pause = self.options.refusal_pause;
+        let (pause, longest) = (self.options.refusal_pause, self.options.longest_pause);
         if let Some(health) = self.targets.get_mut(&(pool.clone(), target.clone())) {
-            health.paused_until = now + pause;
+            let pause = pause * 2_u32.saturating_pow(health.refusals);
+            health.refusals = health.refusals.saturating_add(1);
+            health.paused_until = now + pause.min(longest);
         }
     }
 
@@ -118,8 +120,12 @@
         }
         let (mut total, mut used) = (0, 0);
         for row in rows {
-            total += stream_share(request, row);
-            used += self.health(request.pool, &row.name).gauge.streams();
+            // What a target that is away would have is no reserve.
+            let health = self.health(request.pool, &row.name);
+            if request.now >= health.paused_until && health.refusals == 0 {
+                used += health.gauge.streams();
+                total += stream_share(request, row);
+            }
         }
         used == 0 || total.saturating_sub(used) * 100 > total * percent
     }
--- a/kwg-decide/src/placement/target_health.rs
+++ b/kwg-decide/src/placement/target_health.rs
@@ -14,6 +14,8 @@
     pub(super) tokens_per_second: f64,
     pub(super) paused_until: MonoTime,
     pub(super) samples: u32,
+    /// Refused connections since the last answer.
+    pub(super) refusals: u32,
 }
 
 impl TargetHealth {
@@ -23,6 +25,7 @@
             tokens_per_second: tokens_per_second as f64,
             paused_until: MonoTime::ZERO,
             samples: 0,
+            refusals: 0,
         }
     }
 
@@ -34,6 +37,7 @@
             self.tokens_per_second = sample;
         }
         self.samples = self.samples.saturating_add(1);
+        self.refusals = 0;
         self.tokens_per_second += SPEED_WEIGHT * (sample - self.tokens_per_second);
     }
 
