--- a/kwg-bench/src/main.rs
+++ b/kwg-bench/src/main.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use kwg_bench::{
-    JudgeKind, KillProof, KillTally, MoveTally, OverheadProof, PolicyKind, PolicyTally,
-    PolicyTrial, ShutdownProof, VersionKind,
+    ControlScale, DecideScale, JudgeKind, KillProof, KillTally, MoveTally, OverheadProof,
+    PolicyKind, PolicyTally, PolicyTrial, ShutdownProof, VersionKind,
 };
 use pico_args::{Arguments, Error};
 
@@ -17,6 +17,8 @@
        kwg-bench shutdown [--restarts N]
        kwg-bench overhead [--seconds N] [--rate N]
        kwg-bench policy   [--seed 1..20]
+       kwg-bench control  [--routers N,N,..]
+       kwg-bench decide
        kwg-bench moves    [--seed 1..200]
 ";
 
@@ -60,6 +62,15 @@
             let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
             Ok(policy(&parse_seeds(&seeds.unwrap_or("1..20".to_owned()))))
         }
+        Some("control") => {
+            let sizes: Option<String> = arguments.opt_value_from_str("--routers")?;
+            control(&sizes.unwrap_or("9,50,200,950".to_owned()));
+            Ok(true)
+        }
+        Some("decide") => {
+            decide();
+            Ok(true)
+        }
         Some("moves") => {
             let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
             Ok(moves(&parse_seeds(&seeds.unwrap_or("1..200".to_owned()))))
@@ -138,3 +149,31 @@
     }
     holds
 }
+
+fn control(sizes: &str) {
+    println!(
+        "| routers | CPU % of a core | bytes/s sent | messages/s sent | fleet reads/s | \
+         memory KB | slowest change ms |\n|---|---|---|---|---|---|---|"
+    );
+    for routers in sizes.split(',').filter_map(|size| size.parse().ok()) {
+        let cost = ControlScale::new(routers).run();
+        println!(
+            "| {} | {:.3} | {:.0} | {:.1} | {:.0} | {:.0} | {} |",
+            cost.routers,
+            cost.cpu_percent,
+            cost.bytes_per_second,
+            cost.messages_per_second,
+            cost.fleet_reads_per_second,
+            cost.memory_kb,
+            cost.slowest_change.as_millis(),
+        );
+    }
+}
+
+fn decide() {
+    println!("| targets | claim ns | queue ns | place ns |\n|---|---|---|---|");
+    for targets in [12, 120, 1_200, 12_000] {
+        let cost = DecideScale::run(targets);
+        println!("| {} | {:.0} | {:.0} | {:.0} |", targets, cost.claim, cost.queue, cost.place);
+    }
+}
--- /dev/null
+++ b/kwg-bench/src/scale/decide_cost.rs
@@ -0,0 +1,121 @@
+use std::time::Instant;
+
+use kwg_decide::{
+    LedgerOptions, LimitShare, PlacementOptions, PlacementRequest, QueueEntry, QueueOptions,
+    TargetBook, TicketLedger, TierQueue,
+};
+use kwg_model::{
+    AccountName, ClaimStub, DomainName, FleetSnapshot, HomeAddress, InstanceName, MonoTime,
+    PoolKind, PoolName, PoolRow, RegionName, ServiceTier, TargetName, TargetRow, VersionName,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Decisions that are timed.
+const ROUNDS: u32 = 20_000;
+/// Targets of one pool at any size of the fleet: 12,000 runners serve 20 models.
+const POOL_TARGETS: usize = 12;
+
+/// Times single decisions.
+#[derive(Debug, Clone, Copy)]
+pub struct DecideScale;
+
+/// What decisions cost with so many targets, in nanoseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DecideCost {
+    /// Targets in all pools together.
+    pub targets: usize,
+    /// A claim of a ticket.
+    pub claim: f64,
+    /// An entry queued and taken again, among a thousand.
+    pub queue: f64,
+    /// A target chosen and released.
+    pub place: f64,
+}
+
+impl DecideScale {
+    /// Times decisions with so many targets in pools of twelve.
+    #[must_use]
+    pub fn run(targets: usize) -> DecideCost {
+        DecideCost { targets, claim: claim(), queue: queue(), place: place(targets) }
+    }
+}
+
+fn nanos_each(round: impl FnMut(u32)) -> f64 {
+    let start = Instant::now();
+    (0..ROUNDS).for_each(round);
+    start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
+fn account(number: u32) -> AccountName {
+    AccountName::new(format!("account{number}")).expect("a valid name")
+}
+
+fn claim() -> f64 {
+    let instance = InstanceName::new("r1").expect("a valid name");
+    let home = HomeAddress { instance, incarnation: 1, shard: 0 };
+    let mut ledger = TicketLedger::open(home.clone(), LedgerOptions::default());
+    let tickets = ledger.mint(MonoTime::ZERO, &account(0), ROUNDS as usize).expect("room");
+    nanos_each(|round| {
+        let stub = ClaimStub { claimer: home.clone(), attempt: u64::from(round) };
+        ledger.claim(MonoTime::ZERO, &tickets[round as usize], &stub);
+    })
+}
+
+fn queue() -> f64 {
+    let mut queue = TierQueue::new(QueueOptions { max_tokens: 1 << 40, max_entries: 1 << 20 });
+    let entry = |number: u32| QueueEntry {
+        tier: ServiceTier::new((number % 5) as u8).expect("in range"),
+        account: account(number % 220),
+        cost_tokens: 100,
+        deadline: MonoTime::from_millis(1_000),
+        item: number,
+    };
+    (0..1_000).for_each(|number| drop(queue.offer(entry(number))));
+    nanos_each(|round| {
+        queue.offer(entry(round));
+        queue.pop(|_| true);
+    })
+}
+
+fn place(targets: usize) -> f64 {
+    let (domain, region) = ("domain", RegionName::new("ost").expect("a valid name"));
+    let version = VersionName::new("v1").expect("a valid name");
+    let pools: Vec<PoolRow> = (0..targets.div_ceil(POOL_TARGETS))
+        .map(|pool| PoolRow {
+            name: PoolName::new(format!("pool{pool}")).expect("a valid name"),
+            kind: PoolKind::Engine,
+            version: version.clone(),
+            targets: (0..POOL_TARGETS)
+                .map(|number| TargetRow {
+                    name: TargetName::new(format!("e{pool}-{number}")).expect("a valid name"),
+                    address: "127.0.0.1:1".parse().expect("an address"),
+                    domain: DomainName::new(domain).expect("a valid name"),
+                    region: region.clone(),
+                    limit_tokens: 100_000,
+                    limit_streams: 64,
+                    version: version.clone(),
+                    heeds_fencing: true,
+                })
+                .collect(),
+            version_move: None,
+        })
+        .collect();
+    let (mut book, mut rng) =
+        (TargetBook::new(PlacementOptions::default()), ChaCha8Rng::seed_from_u64(1));
+    let fleet = FleetSnapshot::default();
+    let mut round = |pool: &PoolRow| {
+        let request = PlacementRequest {
+            now: MonoTime::ZERO,
+            fleet: &fleet,
+            pool,
+            region: &region,
+            tier: ServiceTier::new(2).expect("in range"),
+            cost_tokens: 100,
+            share: LimitShare { cores: 1, place: 0 },
+        };
+        drop(book.choose(&request, &mut rng));
+    };
+    pools.iter().for_each(&mut round);
+    nanos_each(|number| round(&pools[number as usize % pools.len()]))
+}
