--- a/kwg-bench/src/fleet/fleet_harness.rs
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -47,6 +47,16 @@
 }
 
 impl FleetHarness {
+    /// Builds the binaries of a fleet beside this one, for tests, and gives their folder.
+    #[must_use]
+    pub fn build_beside(bench: &str) -> PathBuf {
+        let status = std::process::Command::new(env!("CARGO"))
+            .args(["build", "--quiet", "--locked", "-p", "knapweedglade", "-p", "kwg-standin"])
+            .status();
+        assert!(status.is_ok_and(|status| status.success()), "the binaries build");
+        Path::new(bench).parent().expect("a binary lies in a folder").to_owned()
+    }
+
     /// Starts a fleet and waits until every router is ready. The binaries lie in `bin`.
     #[must_use]
     pub fn start(bin: &Path, plan: &FleetPlan) -> Self {
--- a/kwg-bench/tests/callers.rs
+++ b/kwg-bench/tests/callers.rs
@@ -3,8 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use async_io::block_on;
@@ -12,12 +11,7 @@
 use kwg_standin::{CallPlan, CallResult};
 
 fn bin() -> PathBuf {
-    let bench = Path::new(env!("CARGO_BIN_EXE_kwg-bench"));
-    let status = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--locked", "-p", "knapweedglade", "-p", "kwg-standin"])
-        .status();
-    assert!(status.is_ok_and(|status| status.success()), "the binaries build");
-    bench.parent().expect("a binary lies in a folder").to_owned()
+    FleetHarness::build_beside(env!("CARGO_BIN_EXE_kwg-bench"))
 }
 
 /// Sends bytes and reads until the router closes or has said all.
--- a/kwg-bench/tests/moves.rs
+++ b/kwg-bench/tests/moves.rs
@@ -2,8 +2,7 @@
 //! times.
 
 use std::cell::Cell;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,12 +15,7 @@
 const ASKS_MAX: usize = 400;
 
 fn bin() -> PathBuf {
-    let bench = Path::new(env!("CARGO_BIN_EXE_kwg-bench"));
-    let status = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--locked", "-p", "knapweedglade", "-p", "kwg-standin"])
-        .status();
-    assert!(status.is_ok_and(|status| status.success()), "the binaries build");
-    bench.parent().expect("a binary lies in a folder").to_owned()
+    FleetHarness::build_beside(env!("CARGO_BIN_EXE_kwg-bench"))
 }
 
 /// Moves the engines to another version under load; gives the line that tells its end, and how
--- a/kwg-bench/tests/processes.rs
+++ b/kwg-bench/tests/processes.rs
@@ -1,18 +1,11 @@
 //! Over real processes: kills and pauses, rolling restarts. Counts only, no times.
 
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 
-use kwg_bench::{KillProof, ShutdownProof};
+use kwg_bench::{FleetHarness, KillProof, ShutdownProof};
 
-/// The folder of the binaries, built first: tests of one crate do not build another's.
 fn bin() -> PathBuf {
-    let bench = Path::new(env!("CARGO_BIN_EXE_kwg-bench"));
-    let status = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--locked", "-p", "knapweedglade", "-p", "kwg-standin"])
-        .status();
-    assert!(status.is_ok_and(|status| status.success()), "the binaries build");
-    bench.parent().expect("a binary lies in a folder").to_owned()
+    FleetHarness::build_beside(env!("CARGO_BIN_EXE_kwg-bench"))
 }
 
 #[test]
--- a/kwg-flow/src/control.rs
+++ b/kwg-flow/src/control.rs
@@ -6,6 +6,7 @@
 mod control_message;
 mod control_options;
 mod control_output;
+mod gossip_desk;
 mod leader_desk;
 mod move_desk;
 mod poison_desk;
--- a/kwg-flow/src/control/control_core.rs
+++ b/kwg-flow/src/control/control_core.rs
@@ -1,17 +1,17 @@
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use kwg_decide::{GraphMember, InstanceBook, PeerGraph, PeerRecord, PeerRoster, PeerState};
+use kwg_decide::{GraphMember, InstanceBook, PeerRecord, PeerRoster};
 use kwg_model::{
     FleetSnapshot, HomeAddress, InstanceName, InstanceRow, MonoTime, PoolName, TableDelta,
     TableSet, TargetName, VersionName,
 };
 
+use super::gossip_desk::GossipDesk;
 use super::leader_desk::LeaderDesk;
-use super::move_desk::MoveDesk;
+use super::move_desk::{MoveDesk, move_steps};
 use super::poison_desk::PoisonDesk;
-use super::read_schedule::{ReadChange, ReadSchedule};
+use super::read_schedule::ReadSchedule;
 use super::{
     ControlEvent, ControlInput, ControlMessage, ControlOptions, ControlOutput, ControlStatus,
     CrashId, Heartbeat,
@@ -19,9 +19,6 @@
 
 /// Time between reports of samples to the leader of a move.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
-/// Most handed-over ledgers that are remembered and passed on.
-const MOVED_MAX: usize = 64;
-
 /// The control core of a router, behind one [`step`](Self::step).
 ///
 /// ```
@@ -47,18 +44,11 @@
 #[derive(Debug)]
 pub struct ControlCore {
     options: ControlOptions,
-    roster: PeerRoster,
+    gossip: GossipDesk,
     instances: InstanceBook,
     tables: Arc<TableSet>,
     table_reads: ReadSchedule,
     list_reads: ReadSchedule,
-    neighbours: BTreeSet<InstanceName>,
-    moved: BTreeMap<HomeAddress, HomeAddress>,
-    /// Handed-over ledgers that neighbours have not been told of yet.
-    moved_news: BTreeSet<HomeAddress>,
-    /// Which old record goes with the next heartbeat, in case its news was lost on the way.
-    rotation: usize,
-    next_heartbeat: MonoTime,
     moves: MoveDesk,
     leader: LeaderDesk,
     poison: PoisonDesk,
@@ -66,7 +56,6 @@
     last_fence: Option<u64>,
     crash_count: u64,
     wall_start_ms: u64,
-    has_news: bool,
     is_stale: bool,
     is_draining: bool,
     outputs: Vec<ControlOutput>,
@@ -87,17 +76,11 @@
             last_fence: None,
             crash_count: 0,
             wall_start_ms,
-            roster: PeerRoster::new(own, options.roster),
+            gossip: GossipDesk::new(PeerRoster::new(own, options.roster), options.heartbeat),
             instances: InstanceBook::default(),
             tables: Arc::default(),
             table_reads: ReadSchedule::new(options.table_read),
             list_reads: ReadSchedule::new(options.list_read),
-            neighbours: BTreeSet::new(),
-            moved: BTreeMap::new(),
-            moved_news: BTreeSet::new(),
-            rotation: 0,
-            next_heartbeat: MonoTime::ZERO,
-            has_news: false,
             is_stale: false,
             is_draining: false,
             outputs: Vec::new(),
@@ -124,16 +107,18 @@
             ControlInput::EditTried => self.leader.on_edit_tried(now),
             ControlInput::Drain => {
                 self.is_draining = true;
-                self.roster.set_own_state(PeerState::Leaving);
-                self.has_news = true;
+                self.gossip.leave();
             }
             ControlInput::Tick => {}
         }
         self.read_platform(now);
         self.lead(now);
         self.is_stale |= self.poison.forget_old(now);
-        self.roster.expire(now, &self.neighbours);
-        self.beat(now);
+        let (changed, heartbeat) = self.gossip.beat(now, self.tables.revision);
+        self.is_stale |= changed;
+        if let Some(heartbeat) = heartbeat {
+            self.send_all(&heartbeat);
+        }
         if std::mem::take(&mut self.is_stale) {
             let snapshot = self.snapshot();
             self.outputs.push(ControlOutput::Publish(Arc::new(snapshot)));
@@ -144,21 +129,22 @@
     /// When the core wants its next [`ControlInput::Tick`].
     #[must_use]
     pub fn next_wake(&self, now: MonoTime) -> MonoTime {
-        let regular = self.next_heartbeat.min(self.table_reads.next()).min(self.list_reads.next());
+        let regular =
+            self.gossip.next_beat().min(self.table_reads.next()).min(self.list_reads.next());
         self.leader.next_wake(now, &self.moves).map_or(regular, |wake| wake.min(regular))
     }
 
     /// What operators see of this router.
     #[must_use]
     pub fn status(&self) -> ControlStatus {
-        let own = self.roster.own();
+        let own = self.gossip.own();
         ControlStatus {
             instance: own.instance.clone(),
             incarnation: format!("{:016x}", own.incarnation),
             ready: self.tables.revision > 0 && !self.is_draining,
             revision: self.tables.revision,
             change_id: self.tables.change_id.clone(),
-            peers: self.roster.present().count(),
+            peers: self.gossip.roster().present().count(),
             leads: self.last_fence.is_some(),
             braked: self
                 .moves
@@ -175,13 +161,14 @@
     }
 
     fn snapshot(&self) -> FleetSnapshot {
-        let peers = self.roster.present().map(|record| (record.instance.clone(), record.view()));
+        let peers =
+            self.gossip.roster().present().map(|record| (record.instance.clone(), record.view()));
         FleetSnapshot {
             tables: TableSet::clone(&self.tables),
             peers: peers.collect(),
             leaving: self.instances.leaving_targets(),
-            moved: self.moved.clone(),
-            ended: self.roster.ended().cloned().collect(),
+            moved: self.gossip.moved().clone(),
+            ended: self.gossip.roster().ended().cloned().collect(),
             poison: self.poison.poison().clone(),
             braked: self.moves.brakes().keys().cloned().collect(),
         }
@@ -203,7 +190,7 @@
         }
         if now >= self.next_samples && self.moves.is_busy() {
             self.next_samples = now + SAMPLE_INTERVAL;
-            let own = &self.roster.own().instance;
+            let own = &self.gossip.own().instance;
             let leader = self.leader.leader().filter(|leader| leader.instance != *own);
             if let Some(leader) = leader.cloned() {
                 let samples = self.moves.take_unsent(&leader);
@@ -239,7 +226,7 @@
 
     fn on_own_crash(&mut self, now: MonoTime, fingerprint: u64, target: TargetName) {
         self.crash_count += 1;
-        let own = self.roster.own();
+        let own = self.gossip.own();
         let (instance, incarnation) = (own.instance.clone(), own.incarnation);
         let id = CrashId { instance, incarnation, number: self.crash_count };
         self.note_crash(now, fingerprint, target, id);
@@ -257,11 +244,11 @@
     }
 
     fn on_tables_read(&mut self, now: MonoTime, tables: Option<TableSet>) {
-        let routers = self.fleet_size();
+        let routers = self.gossip.fleet_size();
         let per_second = self.options.fleet_reads_per_second;
         let answered = tables.is_some();
         let change = self.table_reads.note_answer(now, answered, routers, per_second);
-        self.note_platform(change, "tables");
+        self.outputs.extend(change.event("tables").map(ControlOutput::Event));
         match tables {
             Some(tables) => self.take_tables(Arc::new(tables), "platform"),
             // A router that starts in an outage learns the tables from a neighbour.
@@ -273,10 +260,10 @@
     }
 
     fn on_instances_read(&mut self, now: MonoTime, list: Option<(u64, Vec<InstanceRow>)>) {
-        let routers = self.fleet_size();
+        let routers = self.gossip.fleet_size();
         let per_second = self.options.fleet_reads_per_second;
         let change = self.list_reads.note_answer(now, list.is_some(), routers, per_second);
-        self.note_platform(change, "instances");
+        self.outputs.extend(change.event("instances").map(ControlOutput::Event));
         let Some((version, rows)) = list else { return };
         let is_first = self.instances.version() == 0;
         let Some(changed) = self.instances.replace(version, rows) else { return };
@@ -297,20 +284,13 @@
             .routers()
             .map(|(instance, row)| GraphMember { instance, region: row.region.clone() });
         let members: Vec<GraphMember> = members.collect();
-        let own = &self.roster.own().instance;
-        let unlisted = || GraphMember { instance: own.clone(), region: None };
-        let own = members.iter().find(|member| member.instance == *own).cloned();
-        let neighbours = PeerGraph::neighbours(&own.unwrap_or_else(unlisted), &members);
-        for neighbour in neighbours.difference(&self.neighbours.clone()) {
-            let to = neighbour.clone();
+        for to in self.gossip.on_members(&members) {
             self.outputs.push(ControlOutput::Send { to, message: ControlMessage::RosterPull });
         }
-        self.neighbours = neighbours;
-        self.has_news = true;
     }
 
     fn on_peer(&mut self, now: MonoTime, from: InstanceName, message: ControlMessage) {
-        self.roster.note_heard(now, &from);
+        self.gossip.note_heard(now, &from);
         match message {
             ControlMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, &from, *heartbeat),
             ControlMessage::TableDelta(delta) => self.on_delta(&from, &delta),
@@ -321,9 +301,8 @@
             }
             ControlMessage::TablePull => {}
             ControlMessage::RosterPull => {
-                let records = self.roster.all().cloned().collect();
-                let heartbeat = self.heartbeat(records);
-                self.outputs.push(ControlOutput::Send { to: from, message: heartbeat });
+                let message = self.gossip.full_heartbeat(self.tables.revision);
+                self.outputs.push(ControlOutput::Send { to: from, message });
             }
             ControlMessage::Samples(samples) => {
                 for (key, batch) in samples {
@@ -349,8 +328,7 @@
         for record in heartbeat.records {
             let (instance, incarnation, state) =
                 (record.instance.clone(), record.incarnation, record.state);
-            if self.roster.merge(now, record) {
-                self.has_news = true;
+            if self.gossip.merge(now, record) {
                 self.is_stale = true;
                 let event = ControlEvent::PeerChanged { instance, incarnation, state };
                 self.outputs.push(ControlOutput::Event(event));
@@ -385,7 +363,8 @@
         }
         let delta = TableDelta::between(&self.tables, &tables);
         let was_ready = self.status().ready;
-        self.note_move_steps(&tables);
+        let steps = move_steps(&self.tables, &tables);
+        self.outputs.extend(steps.into_iter().map(ControlOutput::Event));
         self.tables = tables;
         self.moves.on_tables(&self.tables);
         self.is_stale = true;
@@ -401,84 +380,18 @@
         self.send_all(&ControlMessage::TableDelta(Arc::new(delta)));
     }
 
-    /// Tells plainly how each move has gone on.
-    fn note_move_steps(&mut self, tables: &TableSet) {
-        for pool in tables.pools.values() {
-            let old = self.tables.pools.get(&pool.name).and_then(|old| old.version_move.as_ref());
-            let Some(row) = &pool.version_move else { continue };
-            if old.map(|old| (&old.to, old.phase)) != Some((&row.to, row.phase)) {
-                let (pool, row) = (pool.name.clone(), Box::new(row.clone()));
-                let event = ControlEvent::MoveStep { pool, row };
-                self.outputs.push(ControlOutput::Event(event));
-            }
-        }
-    }
-
     fn note_moved(&mut self, home: HomeAddress, successor: HomeAddress) {
-        if self.moved.get(&home) == Some(&successor) {
-            return;
-        }
-        let event = ControlEvent::LedgerMoved { home: home.clone(), successor: successor.clone() };
-        self.outputs.push(ControlOutput::Event(event));
-        self.moved_news.insert(home.clone());
-        self.moved.insert(home, successor);
-        while self.moved.len() > MOVED_MAX {
-            self.moved.pop_first();
-        }
-        self.has_news = true;
-        self.is_stale = true;
-    }
-
-    fn note_platform(&mut self, change: ReadChange, request: &'static str) {
-        let event = match change {
-            ReadChange::Same => return,
-            ReadChange::WentDown => ControlEvent::PlatformDown { request },
-            ReadChange::CameUp => ControlEvent::PlatformUp { request },
-        };
-        self.outputs.push(ControlOutput::Event(event));
-    }
-
-    /// Sends heartbeats when they are due or there is news.
-    fn beat(&mut self, now: MonoTime) {
-        let changed = self.roster.take_changed();
-        let is_news = std::mem::take(&mut self.has_news) || !changed.is_empty();
-        if !changed.is_empty() {
+        if self.gossip.note_moved(home.clone(), successor.clone()) {
             self.is_stale = true;
+            let event = ControlEvent::LedgerMoved { home, successor };
+            self.outputs.push(ControlOutput::Event(event));
         }
-        if now >= self.next_heartbeat {
-            self.next_heartbeat = now + self.options.heartbeat;
-        } else if !is_news {
-            return;
-        }
-        let heartbeat = self.heartbeat(changed);
-        self.send_all(&heartbeat);
-    }
-
-    fn heartbeat(&mut self, mut records: Vec<PeerRecord>) -> ControlMessage {
-        self.rotation += 1;
-        let known: Vec<&PeerRecord> = self.roster.all().collect();
-        let old = known[self.rotation % known.len()].clone();
-        if records.iter().all(|record| record.instance != old.instance) {
-            records.push(old);
-        }
-        let mut homes = std::mem::take(&mut self.moved_news);
-        let old = self.moved.keys().nth(self.rotation % self.moved.len().max(1));
-        homes.extend(old.cloned());
-        let entry = |home: &HomeAddress| self.moved.get_key_value(home);
-        let moved = homes.iter().filter_map(entry);
-        let moved = moved.map(|(home, to)| (home.clone(), to.clone())).collect();
-        let revision = self.tables.revision;
-        ControlMessage::Heartbeat(Box::new(Heartbeat { revision, records, moved }))
     }
 
     fn send_all(&mut self, message: &ControlMessage) {
-        for to in &self.neighbours {
+        for to in self.gossip.neighbours() {
             let (to, message) = (to.clone(), message.clone());
             self.outputs.push(ControlOutput::Send { to, message });
         }
     }
-
-    fn fleet_size(&self) -> u32 {
-        u32::try_from(self.roster.present().count() + 1).unwrap_or(u32::MAX)
-    }
 }
--- a/kwg-flow/src/control/move_desk.rs
+++ b/kwg-flow/src/control/move_desk.rs
@@ -5,6 +5,7 @@
 };
 use kwg_model::{HomeAddress, PoolName, PoolRow, RouteName, TableSet, VersionMove, VersionName};
 
+use super::ControlEvent;
 use crate::VersionSample;
 
 /// Answers of the old version on a route before its slowness is measured.
@@ -145,3 +146,15 @@
     let row = tables.pools.get(pool)?.version_move.as_ref()?;
     (!row.has_ended()).then_some(row)
 }
+
+/// Tells how each move has gone on from one revision to another.
+pub(super) fn move_steps(old: &TableSet, new: &TableSet) -> Vec<ControlEvent> {
+    let step = |pool: &PoolRow| {
+        let before = old.pools.get(&pool.name).and_then(|pool| pool.version_move.as_ref());
+        let row = pool.version_move.as_ref()?;
+        let has_changed = before.map(|row| (&row.to, row.phase)) != Some((&row.to, row.phase));
+        let (pool, row) = (pool.name.clone(), Box::new(row.clone()));
+        has_changed.then_some(ControlEvent::MoveStep { pool, row })
+    };
+    new.pools.values().filter_map(step).collect()
+}
--- a/kwg-flow/src/control/read_schedule.rs
+++ b/kwg-flow/src/control/read_schedule.rs
@@ -2,6 +2,8 @@
 
 use kwg_model::MonoTime;
 
+use super::ControlEvent;
+
 /// How long an unanswered read is waited for before the next one.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -22,6 +24,17 @@
     CameUp,
 }
 
+impl ReadChange {
+    /// The change as an event of what was asked.
+    pub(super) fn event(self, request: &'static str) -> Option<ControlEvent> {
+        match self {
+            Self::Same => None,
+            Self::WentDown => Some(ControlEvent::PlatformDown { request }),
+            Self::CameUp => Some(ControlEvent::PlatformUp { request }),
+        }
+    }
+}
+
 impl ReadSchedule {
     pub(super) fn new(shortest: Duration) -> Self {
         Self { shortest, next: MonoTime::ZERO, is_down: false }
--- a/kwg-flow/src/desk.rs
+++ b/kwg-flow/src/desk.rs
@@ -5,11 +5,11 @@
 mod key_desk;
 mod mint_desk;
 mod search_desk;
+mod ticket_desk;
 mod timer_queue;
 
 pub(crate) use drain_desk::{DrainDesk, DrainStep};
 pub(crate) use home_desk::{HomeDesk, HomeWait};
-pub(crate) use key_desk::KeyDesk;
-pub(crate) use mint_desk::{MintDesk, MintPurpose};
 pub(crate) use search_desk::{SearchDesk, SearchStep, TargetSearch};
+pub(crate) use ticket_desk::TicketDesk;
 pub(crate) use timer_queue::{TimerKey, TimerQueue};
--- a/kwg-flow/src/traffic/traffic_core.rs
+++ b/kwg-flow/src/traffic/traffic_core.rs
@@ -12,7 +12,7 @@
     TrafficOptions, TrafficOutput,
 };
 use crate::answer::{AnswerRecord, ReaderAddress};
-use crate::desk::{DrainDesk, DrainStep, KeyDesk, MintDesk, MintPurpose, TimerKey, TimerQueue};
+use crate::desk::{DrainDesk, DrainStep, TicketDesk, TimerKey, TimerQueue};
 use crate::filter::{AdmitFilter, FlowContext, FlowPipe};
 use crate::{CallRejection, RequestFlow};
 
@@ -41,8 +41,7 @@
     options: TrafficOptions,
     fleet: Arc<FleetSnapshot>,
     pipeline: TrafficPipeline,
-    mints: MintDesk,
-    keys: KeyDesk,
+    tickets: TicketDesk,
     drain: DrainDesk,
     callers: HashMap<CallerKey, TicketKey>,
     timers: TimerQueue,
@@ -68,8 +67,7 @@
     pub fn new(identity: TrafficIdentity, options: TrafficOptions, seed: u64) -> Self {
         Self {
             pipeline: TrafficPipeline::new(&identity, &options, seed),
-            mints: MintDesk::default(),
-            keys: KeyDesk::default(),
+            tickets: TicketDesk::default(),
             drain: DrainDesk::default(),
             callers: HashMap::new(),
             timers: TimerQueue::default(),
@@ -183,48 +181,25 @@
         self.pipeline.enqueue(&context, flow, &mut pipe);
     }
 
-    /// Mints a ticket for a submission that comes with a key, and asks to bind the key to it.
+    /// Has a ticket minted for a submission that comes with a key, and the key bound to it.
     fn on_keyed(&mut self, now: MonoTime, caller: CallerKey, submission: CallSubmission) {
         if self.drain.is_draining() {
-            let rejection = CallRejection::ShuttingDown;
-            return self.reply(caller, CallerReply::Rejected(rejection));
-        }
-        let (account, elsewhere) = (submission.account.clone(), submission.non_idempotent);
-        let request = self.keys.park(caller, submission);
-        if elsewhere {
-            lend!(self, now => context, pipe);
-            let purpose = MintPurpose::Keyed(request);
-            if !self.mints.ask(&context, purpose, account, 1, &mut pipe) {
-                self.reject_keyed(request, CallRejection::NoOtherDomain);
-            }
-            return;
-        }
-        match self.pipeline.claim.mint(now, &account, 1) {
-            Some(Ok(tickets)) => self.bind_key(request, tickets),
-            Some(Err(error)) => self.reject_keyed(request, CallRejection::ticket_limit(&error)),
-            None => self.reject_keyed(request, CallRejection::ShuttingDown),
-        }
-    }
-
-    fn bind_key(&mut self, request: u64, tickets: Vec<DispatchTicket>) {
-        match tickets.into_iter().next() {
-            Some(ticket) => self.outputs.extend(self.keys.bind(request, ticket)),
-            None => self.reject_keyed(request, CallRejection::NoOtherDomain),
-        }
-    }
-
-    fn reject_keyed(&mut self, request: u64, rejection: CallRejection) {
-        if let Some(wait) = self.keys.take(request) {
-            self.reply(wait.caller, CallerReply::Rejected(rejection));
+            return self.reply(caller, CallerReply::Rejected(CallRejection::ShuttingDown));
         }
+        lend!(self, now => context, pipe);
+        self.tickets.on_keyed(&context, &mut self.pipeline.claim, caller, submission, &mut pipe);
     }
 
     /// Goes on under the ticket that the key is bound to; from here it is a ticket like any.
     fn on_key_bound(&mut self, now: MonoTime, request: u64, ticket: Option<DispatchTicket>) {
         let Some(ticket) = ticket else {
-            return self.reject_keyed(request, CallRejection::StoreOutage);
+            return self.tickets.reject_keyed(
+                request,
+                CallRejection::StoreOutage,
+                &mut self.outputs,
+            );
         };
-        let Some(mut wait) = self.keys.take(request) else { return };
+        let Some(mut wait) = self.tickets.take_keyed(request) else { return };
         if ticket.account != wait.submission.account {
             let rejection = CallRejection::BadBinding;
             return self.reply(wait.caller, CallerReply::Rejected(rejection));
@@ -233,14 +208,6 @@
         self.on_submit(now, wait.caller, wait.submission);
     }
 
-    /// Passes tickets on to whoever waited for them; none if the other router refused.
-    fn on_minted(&mut self, purpose: MintPurpose, tickets: Vec<DispatchTicket>) {
-        match purpose {
-            MintPurpose::Caller(caller) => self.reply(caller, tickets_reply(tickets)),
-            MintPurpose::Keyed(request) => self.bind_key(request, tickets),
-        }
-    }
-
     /// The caller's ticket, or one minted for it.
     fn ticket_for(
         &mut self,
@@ -276,11 +243,7 @@
     ) {
         if elsewhere {
             lend!(self, now => context, pipe);
-            let purpose = MintPurpose::Caller(caller);
-            if !self.mints.ask(&context, purpose, account, count, &mut pipe) {
-                self.reply(caller, CallerReply::Rejected(CallRejection::NoOtherDomain));
-            }
-            return;
+            return self.tickets.ask_elsewhere(&context, caller, account, count, &mut pipe);
         }
         let minted = match self.drain.is_draining() {
             true => None,
@@ -326,9 +289,7 @@
                 pipe.send(&from, TrafficMessage::MintReply { request, tickets });
             }
             TrafficMessage::MintReply { request, tickets } => {
-                if let Some(purpose) = self.mints.take(request) {
-                    self.on_minted(purpose, tickets);
-                }
+                self.tickets.on_minted(request, tickets, pipe.outputs);
             }
             TrafficMessage::Attach { key, account, offset } => {
                 self.pipeline.relay.serve_attach(&from, &key, &account, offset, &mut pipe);
@@ -381,9 +342,7 @@
                     self.pipeline.on_burn_step(&context, step, &mut pipe);
                 }
                 TimerKey::Mint(request) => {
-                    if let Some(purpose) = self.mints.take(request) {
-                        self.on_minted(purpose, Vec::new());
-                    }
+                    self.tickets.on_minted(request, Vec::new(), pipe.outputs);
                 }
                 TimerKey::Join(key) => {
                     let (recovery, shelf) = self.pipeline.relay.recovery();
@@ -402,7 +361,7 @@
     }
 
     fn finish_drain(&mut self, now: MonoTime) {
-        let idle = self.pipeline.is_idle() && self.mints.is_empty() && self.keys.is_empty();
+        let idle = self.pipeline.is_idle() && self.tickets.is_empty();
         if !self.drain.is_draining() || !idle {
             return;
         }
@@ -430,10 +389,3 @@
         self.outputs.push(TrafficOutput::Reply { caller, reply });
     }
 }
-
-fn tickets_reply(tickets: Vec<DispatchTicket>) -> CallerReply {
-    match tickets.is_empty() {
-        true => CallerReply::Rejected(CallRejection::NoOtherDomain),
-        false => CallerReply::Tickets(tickets),
-    }
-}
--- a/kwg-http/src/lib.rs
+++ b/kwg-http/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod call_client;
 mod socket_stream;
+mod source_body;
 mod whole_body;
 
 pub use call_client::{CallClient, CallError, HttpReply};
 pub use socket_stream::SocketStream;
+pub use source_body::{ByteSource, SourceBody};
 pub use whole_body::{BodyError, WholeBody};
--- a/kwg-spec/src/lib.rs
+++ b/kwg-spec/src/lib.rs
@@ -11,6 +11,7 @@
 mod lease_world;
 mod ticket_variant;
 mod ticket_world;
+mod world_budget;
 mod world_message;
 mod world_router;
 
@@ -18,4 +19,5 @@
 pub use explore::{Exploration, SpecWorld, explore, find_violation};
 pub use lease_world::{LeaseVariant, LeaseWorld};
 pub use ticket_variant::TicketVariant;
-pub use ticket_world::{TicketWorld, WorldBudget};
+pub use ticket_world::TicketWorld;
+pub use world_budget::WorldBudget;
--- a/kwg-spec/src/ticket_world.rs
+++ b/kwg-spec/src/ticket_world.rs
@@ -1,50 +1,13 @@
 use std::hash::{Hash, Hasher};
 
-use kwg_decide::{LedgerOptions, LedgerRoute, PendingClaim};
+use kwg_decide::{ClaimFailure, LedgerOptions, LedgerRoute, PendingClaim};
 use kwg_model::{
     AccountName, BurnVerdict, ClaimStub, ClaimVerdict, DispatchTicket, HomeAddress, MonoTime,
 };
 
 use crate::world_message::{MessageBody, WorldMessage};
 use crate::world_router::{RouterWork, WorldRouter};
-use crate::{SpecWorld, TicketVariant};
-
-/// How much may happen in a world.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct WorldBudget {
-    /// Submissions and resends by callers, in all.
-    pub submissions: u8,
-    /// Processes that die and start again.
-    pub crashes: u8,
-    /// Messages that come twice.
-    pub duplicates: u8,
-    /// Attempts that are given up.
-    pub timeouts: u8,
-    /// Ledgers that are handed over.
-    pub hand_overs: u8,
-    /// Steps of the homes' clock: past the tickets' lifetime, then past retention.
-    pub clock_steps: u8,
-}
-
-impl WorldBudget {
-    /// Two callers race; messages are duplicated and attempts given up.
-    pub const RACES: Self = Self {
-        submissions: 2,
-        crashes: 0,
-        duplicates: 1,
-        timeouts: 1,
-        hand_overs: 0,
-        clock_steps: 0,
-    };
-    /// Processes die and start again.
-    pub const CRASHES: Self = Self { crashes: 2, duplicates: 0, ..Self::RACES };
-    /// Ledgers are handed over, and the messages that do so come twice.
-    pub const HAND_OVERS: Self = Self { hand_overs: 2, ..Self::RACES };
-    /// Tickets grow old.
-    pub const AGE: Self = Self { clock_steps: 2, duplicates: 0, ..Self::RACES };
-    /// Everything once.
-    pub const ALL: Self = Self { crashes: 1, hand_overs: 1, clock_steps: 1, ..Self::RACES };
-}
+use crate::{SpecWorld, TicketVariant, WorldBudget};
 
 /// Routers, tickets, messages on their way, and what has been done with each ticket.
 #[derive(Debug, Clone)]
@@ -210,12 +173,10 @@
         }
         let key = self.tickets[ticket].key.clone();
         let pending = PendingClaim::begin(key, self.routers[router].stub(attempt));
-        self.routers[router].work[ticket] = match pending.settle(verdict) {
+        let settled = pending.settle(verdict);
+        self.said_not_run[ticket] |= matches!(settled, Err(ClaimFailure::Burned));
+        self.routers[router].work[ticket] = match settled {
             Ok(_right) => RouterWork::Claimed { attempt },
-            Err(kwg_decide::ClaimFailure::Burned) => {
-                self.said_not_run[ticket] = true;
-                RouterWork::Settled
-            }
             Err(_) => RouterWork::Settled,
         };
     }
@@ -258,9 +219,7 @@
         if let BurnVerdict::Moved(successor) = verdict {
             return self.send(router, successor, MessageBody::Burn { ticket, attempt });
         }
-        if verdict == BurnVerdict::Burned {
-            self.said_not_run[ticket] = true;
-        }
+        self.said_not_run[ticket] |= verdict == BurnVerdict::Burned;
         self.routers[router].work[ticket] = RouterWork::Settled;
     }
 
--- a/kwg-standin/src/engine/engine_standin.rs
+++ b/kwg-standin/src/engine/engine_standin.rs
@@ -5,7 +5,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use http_types::{Body, Method, Request, Response, StatusCode};
-use kwg_http::SocketStream;
+use kwg_http::{SocketStream, SourceBody};
 use kwg_target::TargetHeaders;
 use kwg_telemetry::{EventLine, EventRing};
 use serde_json::json;
@@ -73,7 +73,7 @@
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header("kwg-cached-tokens", cached.to_string());
         response.insert_header(TargetHeaders::STAMP, self.events.clock().stamp().to_string());
-        response.set_body(Body::from_reader(StreamBody::new(cell, 0), None));
+        response.set_body(Body::from_reader(SourceBody::new(StreamBody::new(cell, 0)), None));
         Some(response)
     }
 
@@ -93,7 +93,8 @@
         let from = request.url().query_pairs().find(|(name, _)| name == "from");
         let from = from.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
         let mut response = Response::new(StatusCode::Ok);
-        response.set_body(Body::from_reader(StreamBody::new(cell.clone(), from), None));
+        let body = SourceBody::new(StreamBody::new(cell.clone(), from));
+        response.set_body(Body::from_reader(body, None));
         response
     }
 
