fix(kwg-decide): what slows both versions is not held against the new one

Seen: kwg-bench moves failed once under a loaded machine: a good version was called bad on 15.3% slow answers against 10.5%, and taken back. Cause: slow answers of a stall of the whole machine were compared with the old version's rate over all time; and the canary's target, kept full on purpose, was compared with targets that were not. Ruled out: failures (0.0% of 555). Test: kwg-decide judge.

--- a/kwg-flow/src/traffic/traffic_pipeline.rs
+++ b/kwg-flow/src/traffic/traffic_pipeline.rs
@@ -1,9 +1,9 @@
 use std::collections::VecDeque;
 
-use kwg_decide::{ClaimFailure, SampleKey};
+use kwg_decide::{ClaimFailure, SampleKey, VersionSplit};
 use kwg_model::{
     BurnVerdict, CallOutcome, CallSubmission, ClaimStub, HomeAddress, MonoTime, NotRunReason,
-    PoolName, ServiceTier, TicketKey, UnknownReason, VersionMove, VersionName,
+    PoolName, ServiceTier, TargetName, TicketKey, UnknownReason, VersionMove, VersionName,
 };
 
 use super::{EventKind, TrafficIdentity, TrafficOptions, TrafficOutput, VersionSample};
@@ -219,8 +219,8 @@
                 let tokens = flow.cost_tokens();
                 self.place.note_answer(&figures.pool, &figures.target, tokens, figures.service);
                 let micros = figures.service.as_micros() as f64 / tokens.max(1) as f64;
-                let (pool, version) = (&figures.pool, &figures.version);
-                sample(context, flow.submission(), pool, version, Some(micros), pipe);
+                let place = (&figures.pool, &figures.target, &figures.version);
+                sample(context, flow.submission(), place, Some(micros), pipe);
                 pipe.event(flow.key(), EventKind::answered(figures));
             }
             RelayStep::NotStarted(flow, order) => {
@@ -247,7 +247,8 @@
         let fingerprint = submission.fingerprint();
         let target = choice.target.clone();
         pipe.outputs.push(TrafficOutput::Crash { fingerprint, target });
-        sample(context, submission, &choice.pool, &choice.version, None, pipe);
+        let place = (&choice.pool, &choice.target, &choice.version);
+        sample(context, submission, place, None, pipe);
         pipe.event(key, EventKind::Failed { outcome, tier: Some(flow.tier()) });
     }
 
@@ -308,16 +309,19 @@
 }
 
 /// Counts an answer for the judge while a version move is under way in its pool.
+///
+/// The canary's target is kept full, which slows all its answers: during the canary the old
+/// version is counted there only, so that like is compared with like.
 fn sample(
     context: &FlowContext<'_>,
     submission: &CallSubmission,
-    pool: &PoolName,
-    version: &VersionName,
+    (pool, target, version): (&PoolName, &TargetName, &VersionName),
     micros: Option<f64>,
     pipe: &mut FlowPipe<'_>,
 ) {
-    let row = context.fleet.tables.pools.get(pool).and_then(|pool| pool.version_move.as_ref());
-    if row.is_none_or(VersionMove::has_ended) {
+    let Some(row) = context.fleet.tables.pools.get(pool) else { return };
+    let elsewhere = VersionSplit::filled_first(row).is_some_and(|filled| filled != target);
+    if elsewhere || row.version_move.as_ref().is_none_or(VersionMove::has_ended) {
         return;
     }
     let key =
