--- a/kwg-bench/src/fleet.rs
+++ b/kwg-bench/src/fleet.rs
@@ -4,6 +4,7 @@
 mod fleet_plan;
 mod fleet_process;
 mod free_port;
+mod link_relay;
 mod ticket_log;
 
 pub use fleet_harness::FleetHarness;
--- a/kwg-bench/src/fleet/fleet_harness.rs
+++ b/kwg-bench/src/fleet/fleet_harness.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 
 use super::free_port::free_address;
+use super::link_relay::LinkRelay;
 use super::{FleetPlan, FleetProcess, TicketLog};
 
 /// The secret, account and key of every test fleet.
@@ -42,6 +43,7 @@
     platform_address: SocketAddr,
     engine_addresses: Vec<SocketAddr>,
     service_address: SocketAddr,
+    relay: LinkRelay,
     binary: PathBuf,
     dir: PathBuf,
 }
@@ -83,6 +85,7 @@
         let service = FleetProcess::start(&standin, service_arguments, dir.join("s0.out"));
         let fronts: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
         let admins: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
+        let peers: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
         let mut harness = Self {
             routers: Vec::new(),
             engines,
@@ -93,12 +96,13 @@
             platform_address,
             engine_addresses,
             service_address,
+            relay: LinkRelay::start(peers.clone()),
             binary: router.clone(),
             dir,
         };
         harness.wait_for(platform_address, "/stats");
         harness.put_tables(&router, plan, service_address);
-        harness.start_routers(&router, plan);
+        harness.start_routers(&router, plan, &peers);
         harness
     }
 
@@ -139,6 +143,11 @@
         drop(block_on(client.call(request.expect("a valid path"))));
     }
 
+    /// Cuts a live router off from all other routers, or joins it again.
+    pub fn cut_links(&self, router: usize, is_cut: bool) {
+        self.relay.cut(router, is_cut);
+    }
+
     /// Switches a fault of every engine, given as a query.
     pub fn fault_engines(&self, query: &str) {
         for address in &self.engine_addresses {
@@ -272,12 +281,11 @@
         assert!(put.wait().is_some_and(|status| status.success()), "the tables are accepted");
     }
 
-    fn start_routers(&mut self, binary: &Path, plan: &FleetPlan) {
+    fn start_routers(&mut self, binary: &Path, plan: &FleetPlan, peers: &[SocketAddr]) {
         let authority = FleetAuthority::generate().expect("keys can be made");
         std::fs::write(self.dir.join("fleet.crt"), authority.certificate())
             .expect("the fleet's folder is writable");
-        let peers: Vec<SocketAddr> = (0..plan.routers).map(|_| free_address()).collect();
-        let rows = peers.iter().enumerate().map(|(number, peer)| {
+        let rows = self.relay.addresses().iter().enumerate().map(|(number, peer)| {
             let (name, admin) = (format!("r{number}"), self.admins[number]);
             let (_, region) = DOMAINS[number % DOMAINS.len()];
             json!({
--- a/kwg-flow/tests/limits.rs
+++ b/kwg-flow/tests/limits.rs
@@ -203,3 +203,61 @@
     fleet.input("r1", TrafficInput::Tick);
     assert_eq!(fleet.cores["r1"].core.record_count(), 0);
 }
+
+#[test]
+fn a_request_with_a_ticket_at_a_stopping_router_is_not_run() {
+    let mut fleet = SimFleet::new(2);
+    let ticket = fleet.ticket("r2");
+    // Something still runs, so the router has not ended.
+    fleet.submit("r1", submission("patches"));
+    fleet.input("r1", TrafficInput::Drain);
+    let request = CallSubmission { ticket: Some(ticket.clone()), ..submission("patches") };
+    let caller = fleet.submit("r1", request);
+    let draining = CallOutcome::NotRun(NotRunReason::Draining);
+    assert_eq!(fleet.outcome("r1", caller), Some(draining));
+    assert_eq!(fleet.dispatches(&ticket.key), 0);
+}
+
+#[test]
+fn a_ticket_past_the_ledgers_memory_is_unknown_and_one_before_is_not_run() {
+    let mut fleet = SimFleet::new(1);
+    let (expired, forgotten) = (fleet.ticket("r1"), fleet.ticket("r1"));
+    let with = |ticket: &kwg_model::DispatchTicket| CallSubmission {
+        ticket: Some(ticket.clone()),
+        ..submission("patches")
+    };
+    fleet.now = fleet.now + Duration::from_secs(601);
+    let caller = fleet.submit("r1", with(&expired));
+    let spent = CallOutcome::NotRun(NotRunReason::TicketSpent);
+    assert_eq!(fleet.outcome("r1", caller), Some(spent));
+    fleet.now = fleet.now + Duration::from_secs(301);
+    let caller = fleet.submit("r1", with(&forgotten));
+    let gone = CallOutcome::Unknown(UnknownReason::AnswerGone);
+    assert_eq!(fleet.outcome("r1", caller), Some(gone));
+    assert!(fleet.cores["r1"].dispatched.is_empty());
+}
+
+#[test]
+fn a_request_known_to_crash_targets_is_not_run() {
+    let mut fleet = SimFleet::new(1);
+    let request = submission("patches");
+    fleet.fleet.poison.insert(request.fingerprint());
+    fleet.publish();
+    let caller = fleet.submit("r1", request);
+    let poisoned = CallOutcome::NotRun(NotRunReason::Poisoned);
+    assert_eq!(fleet.outcome("r1", caller), Some(poisoned));
+    let other = CallSubmission { body: b"another".as_slice().into(), ..submission("patches") };
+    fleet.submit("r1", other);
+    assert_eq!(fleet.cores["r1"].dispatched.len(), 1, "others are not harmed");
+}
+
+#[test]
+fn a_target_that_fails_is_told_with_the_request() {
+    let mut fleet = SimFleet::new(1);
+    let caller = fleet.submit("r1", submission("patches"));
+    let key = fleet.cores["r1"].dispatched[0].right.key().clone();
+    fleet.target("r1", &key, TargetEvent::Failed);
+    let unknown = CallOutcome::Unknown(UnknownReason::TargetFailed);
+    assert_eq!(fleet.outcome("r1", caller), Some(unknown));
+    assert_eq!(fleet.cores["r1"].crashes, [submission("patches").fingerprint()]);
+}
--- a/kwg-peer/src/tls_identity.rs
+++ b/kwg-peer/src/tls_identity.rs
@@ -82,6 +82,12 @@
         Ok(Self { server, client })
     }
 
+    /// How this router opens links.
+    #[must_use]
+    pub fn client_config(&self) -> ClientConfig {
+        self.client.clone()
+    }
+
     /// Whether a certificate, whose signature has been checked, is that of `instance`.
     pub(crate) fn is_certificate_of(certificate: &CertificateDer<'_>, instance: &str) -> bool {
         let Ok(certificate) = webpki::EndEntityCert::try_from(certificate) else { return false };
