--- a/knapweedglade/src/main.rs
+++ b/knapweedglade/src/main.rs
@@ -31,6 +31,7 @@
 ";
 
 fn main() -> ExitCode {
+    abort_on_panic();
     let mut arguments = Arguments::from_env();
     match run(&mut arguments) {
         Ok(()) => ExitCode::SUCCESS,
@@ -41,6 +42,15 @@
     }
 }
 
+/// A router whose thread panics ends as a whole: half a router would hold requests for ever.
+fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 fn run(arguments: &mut Arguments) -> Result<(), CommandError> {
     match arguments.subcommand()?.as_deref() {
         Some("router") => command::router::run(arguments),
