--- a/kwg-spec/src/ticket_world.rs
+++ b/kwg-spec/src/ticket_world.rs
@@ -109,8 +109,7 @@
     }
 
     fn send(&mut self, from: usize, to: HomeAddress, body: MessageBody) {
-        let from = self.routers[from].address.clone();
-        self.messages.push(WorldMessage { from, to, body });
+        self.messages.push(WorldMessage { from: self.routers[from].address.clone(), to, body });
     }
 
     /// Where a router finds the ledger of a ticket.
