--- a/kwg-decide/src/ledger/ticket_ledger.rs
+++ b/kwg-decide/src/ledger/ticket_ledger.rs
@@ -176,11 +176,13 @@
             }
             if let Some(held) = self.phase.outstanding.get_mut(&batch.account) {
                 *held -= batch.count;
+                if *held == 0 {
+                    self.phase.outstanding.remove(&batch.account);
+                }
             }
             self.phase.total -= batch.count;
             self.phase.batches.pop_front();
         }
-        self.phase.outstanding.retain(|_, held| *held > 0);
         self.forget_entries(now);
     }
 }
--- a/kwg-decide/src/placement/target_book.rs
+++ b/kwg-decide/src/placement/target_book.rs
@@ -24,8 +24,8 @@
 
     /// Chooses between two random targets of the pool that have room, by expected finish.
     ///
-    /// A target with nothing
-    /// of this core in flight always has room for one request. `None` if none has room.
+    /// A target with no stream of this core takes a request of any size. `None` if none has
+    /// room.
     pub fn choose(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -61,12 +61,6 @@
         })
     }
 
-    /// Whether any target of the pool could take work once others have ended.
-    #[must_use]
-    pub fn is_pool_open(&self, fleet: &FleetSnapshot, pool: &PoolRow) -> bool {
-        pool.targets.iter().any(|row| !fleet.leaving.contains(&row.name))
-    }
-
     /// Notes that a target refused a connection: it gets no work for a while.
     pub fn note_refusal(&mut self, now: MonoTime, pool: &PoolName, target: &TargetName) {
         let (pause, longest) = (self.options.refusal_pause, self.options.longest_pause);
