refactor: kwg-platform becomes kwg-store; feat(kwg-h1): sans-io HTTP/1.1 codec

The name kwg-platform is needed for nothing else, but two things named platform would be read as one. async-h1 cannot tell a cut counted body from a whole one, hides early answers and keeps no connection to targets, so the platform path uses httparse under one small codec.

--- a/knapweedglade/src/command/tables.rs
+++ b/knapweedglade/src/command/tables.rs
@@ -7,7 +7,7 @@
 use kwg_clock::ClockHandle;
 use kwg_http::CallClient;
 use kwg_model::{InstanceKind, PoolName, PoolRow, TableSet, VersionMove, VersionName};
-use kwg_platform::{ConfigStore, EditOutcome, EditRequest, ListClient, TableClient, TableReading};
+use kwg_store::{ConfigStore, EditOutcome, EditRequest, ListClient, TableClient, TableReading};
 use kwg_settings::TableFiles;
 use kwg_telemetry::HybridClock;
 use rand::random;
--- a/knapweedglade/src/command/timeline.rs
+++ b/knapweedglade/src/command/timeline.rs
@@ -5,7 +5,7 @@
 use async_io::block_on;
 use kwg_clock::ClockHandle;
 use kwg_http::CallClient;
-use kwg_platform::ObjectClient;
+use kwg_store::ObjectClient;
 use kwg_telemetry::TimeLine;
 use snafu::ResultExt;
 
--- a/knapweedglade/src/command_error.rs
+++ b/knapweedglade/src/command_error.rs
@@ -1,5 +1,5 @@
 use kwg_peer::KeyError;
-use kwg_platform::PlatformError;
+use kwg_store::PlatformError;
 use kwg_router::RouterError;
 use kwg_settings::IniError;
 use kwg_telemetry::{LogError, TimeLineError};
--- /dev/null
+++ b/kwg-h1/src/body_framing.rs
@@ -0,0 +1,38 @@
+use crate::head_error::{AmbiguousLengthSnafu, UnsupportedCodingSnafu};
+use crate::{HeadError, HeaderList};
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// So many bytes.
+    Length(u64),
+    /// Chunks, the last of which is empty.
+    Chunked,
+    /// Everything until the other end closes.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// What the fields say, if they say it once and in one way.
+    pub(crate) fn from_headers(headers: &HeaderList) -> Result<Option<Self>, HeadError> {
+        let mut lengths = headers.all("content-length");
+        let mut codings = headers.all("transfer-encoding");
+        let (length, coding) = (lengths.next(), codings.next());
+        if lengths.next().is_some() || codings.next().is_some() {
+            return AmbiguousLengthSnafu.fail();
+        }
+        match (length, coding) {
+            (Some(_), Some(_)) => AmbiguousLengthSnafu.fail(),
+            (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => {
+                Ok(Some(Self::Chunked))
+            }
+            (None, Some(_)) => UnsupportedCodingSnafu.fail(),
+            (Some(length), None) => {
+                let is_number = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+                let length = is_number.then(|| length.parse().ok()).flatten();
+                length.map_or_else(|| AmbiguousLengthSnafu.fail(), |n| Ok(Some(Self::Length(n))))
+            }
+            (None, None) => Ok(None),
+        }
+    }
+}
--- /dev/null
+++ b/kwg-h1/src/request_head.rs
@@ -0,0 +1,90 @@
+use httparse::{EMPTY_HEADER, Request, Status};
+
+use crate::head_error::{MalformedSnafu, TooLargeSnafu};
+use crate::{BodyFraming, HeadError, HeaderList};
+
+/// Most fields of a head.
+pub(crate) const MAX_FIELDS: usize = 64;
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// The path and query, as they came.
+    pub target: String,
+    /// The fields.
+    pub headers: HeaderList,
+    /// How the body ends.
+    pub framing: BodyFraming,
+    /// Whether the connection may be used again.
+    pub keeps_alive: bool,
+}
+
+impl RequestHead {
+    /// Parses a head of at most `max_bytes`; `None` if it is not complete yet. Returns the head
+    /// and its length in bytes.
+    ///
+    /// # Errors
+    /// [`HeadError`] for what breaks the grammar or could be read in two ways.
+    ///
+    /// ```
+    /// use kwg_h1::RequestHead;
+    ///
+    /// let bytes = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nrest";
+    /// let (head, used) = RequestHead::parse(bytes, 1_024)?.expect("complete");
+    /// assert_eq!((head.target.as_str(), used), ("/a", bytes.len() - 4));
+    /// # Ok::<(), kwg_h1::HeadError>(())
+    /// ```
+    pub fn parse(bytes: &[u8], max_bytes: usize) -> Result<Option<(Self, usize)>, HeadError> {
+        let Some(length) = head_length(bytes, max_bytes)? else { return Ok(None) };
+        let mut fields = [EMPTY_HEADER; MAX_FIELDS];
+        let mut request = Request::new(&mut fields);
+        let parsed = request.parse(&bytes[..length]);
+        let (Ok(Status::Complete(_)), Some(method), Some(target), Some(1)) =
+            (parsed, request.method, request.path, request.version)
+        else {
+            return MalformedSnafu.fail();
+        };
+        let headers = take_fields(request.headers)?;
+        if headers.all("host").count() != 1 {
+            return MalformedSnafu.fail();
+        }
+        let framing = BodyFraming::from_headers(&headers)?.unwrap_or(BodyFraming::Length(0));
+        let keeps_alive = !headers.has_token("connection", "close");
+        let head = Self {
+            method: method.to_owned(),
+            target: target.to_owned(),
+            headers,
+            framing,
+            keeps_alive,
+        };
+        Ok(Some((head, length)))
+    }
+}
+
+/// Where the head ends. Bare line feeds and folded fields are refused: they are read in
+/// different ways by different programs.
+pub(crate) fn head_length(bytes: &[u8], max_bytes: usize) -> Result<Option<usize>, HeadError> {
+    let window = &bytes[..bytes.len().min(max_bytes)];
+    let end = window.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    let head = &window[..end.unwrap_or(window.len())];
+    let is_bare = |at: usize| head[at] == b'\n' && (at == 0 || head[at - 1] != b'\r');
+    let is_folded = |at: usize| head[at] == b'\n' && matches!(head.get(at + 1), Some(b' ' | b'\t'));
+    if (0..head.len()).any(|at| is_bare(at) || is_folded(at)) {
+        return MalformedSnafu.fail();
+    }
+    match end {
+        None if bytes.len() >= max_bytes => TooLargeSnafu.fail(),
+        end => Ok(end),
+    }
+}
+
+pub(crate) fn take_fields(fields: &[httparse::Header<'_>]) -> Result<HeaderList, HeadError> {
+    let mut headers = HeaderList::default();
+    for field in fields {
+        let Ok(value) = std::str::from_utf8(field.value) else { return MalformedSnafu.fail() };
+        headers.push(field.name, value.trim());
+    }
+    Ok(headers)
+}
--- /dev/null
+++ b/kwg-h1/tests/heads.rs
@@ -0,0 +1,77 @@
+//! Heads that could be read in two ways are refused; cut bodies are told from whole ones.
+
+use kwg_h1::{BodyDecoder, BodyFraming, HeadError, ReplyHead, RequestHead};
+use quickcheck::quickcheck;
+
+fn parse(head: &str) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    RequestHead::parse(head.as_bytes(), 16_384)
+}
+
+#[test]
+fn ambiguous_lengths_are_refused() {
+    let both = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let two = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n";
+    let signed = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\n";
+    let list = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\n";
+    for head in [both, two, signed, list] {
+        assert_eq!(parse(head), Err(HeadError::AmbiguousLength), "{head}");
+    }
+    let coding = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n";
+    assert_eq!(parse(coding), Err(HeadError::UnsupportedCoding));
+}
+
+#[test]
+fn odd_lines_are_refused() {
+    let folded = "GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n";
+    let bare = "GET /a HTTP/1.1\nHost: x\n\n";
+    let spaced = "GET /a HTTP/1.1\r\nHost : x\r\n\r\n";
+    let hostless = "GET /a HTTP/1.1\r\nA: x\r\n\r\n";
+    let hosts = "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n";
+    for head in [folded, bare, spaced, hostless, hosts] {
+        assert_eq!(parse(head), Err(HeadError::Malformed), "{head}");
+    }
+    let long = format!("GET /a HTTP/1.1\r\nHost: x\r\nA: {}\r\n\r\n", "b".repeat(20_000));
+    assert_eq!(parse(&long), Err(HeadError::TooLarge));
+}
+
+#[test]
+fn replies_tell_how_they_end() {
+    let head = |text: &str| ReplyHead::parse(text.as_bytes()).expect("valid").expect("complete").0;
+    let counted = head("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=7\r\n\r\n");
+    assert_eq!((counted.framing, counted.keeps_alive), (BodyFraming::Length(3), true));
+    assert_eq!(counted.idle_timeout(), Some(std::time::Duration::from_secs(7)));
+    let open = head("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!((open.framing, open.keeps_alive), (BodyFraming::UntilClose, false));
+    assert!(ReplyHead::parse(b"garbage").is_err(), "no reply");
+    assert_eq!(ReplyHead::parse(b"HTTP/1.1 20"), Ok(None));
+}
+
+#[test]
+fn a_cut_body_may_not_end() {
+    for (framing, bytes) in
+        [(BodyFraming::Length(9), &b"abc"[..]), (BodyFraming::Chunked, &b"9\r\nabc"[..])]
+    {
+        let mut decoder = BodyDecoder::new(framing);
+        decoder.decode(bytes, &mut Vec::new()).expect("valid so far");
+        assert!(!decoder.may_end(), "{framing:?}");
+    }
+}
+
+quickcheck! {
+    fn chunked_bodies_survive_any_split(chunks: Vec<Vec<u8>>, cuts: Vec<u8>) -> bool {
+        let mut wire = Vec::new();
+        chunks.iter().for_each(|chunk| kwg_h1::HeadWriter::write_chunk(chunk, &mut wire));
+        wire.extend_from_slice(kwg_h1::HeadWriter::LAST_CHUNK);
+        let (mut decoder, mut body, mut buffer) = (BodyDecoder::new(BodyFraming::Chunked), Vec::new(), Vec::new());
+        let mut cuts = cuts.into_iter().cycle();
+        for byte in wire {
+            buffer.push(byte);
+            if cuts.next().unwrap_or(0) % 3 != 0 {
+                let used = decoder.decode(&buffer, &mut body).expect("valid");
+                buffer.drain(..used);
+            }
+        }
+        decoder.decode(&buffer, &mut body).expect("valid");
+        decoder.is_done() && body == chunks.concat()
+    }
+}
--- a/kwg-router/src/control_thread.rs
+++ b/kwg-router/src/control_thread.rs
@@ -16,7 +16,7 @@
 use kwg_http::CallClient;
 use kwg_model::{PoolName, VersionMove};
 use kwg_peer::LinkCommand;
-use kwg_platform::{
+use kwg_store::{
     ConfigStore, EditRequest, KeyStore, LeaseStore, ListClient, ObjectClient, TableClient,
 };
 use kwg_target::{TargetClient, TargetOptions};
--- a/kwg-router/src/event_archive.rs
+++ b/kwg-router/src/event_archive.rs
@@ -1,4 +1,4 @@
-use kwg_platform::ObjectClient;
+use kwg_store::ObjectClient;
 use kwg_telemetry::EventRing;
 
 /// Stores events in the object store, since instances keep nothing. The time line reads them
--- a/kwg-router/src/key_binder.rs
+++ b/kwg-router/src/key_binder.rs
@@ -4,7 +4,7 @@
 use async_channel::Receiver;
 use kwg_flow::TrafficInput;
 use kwg_model::{AccountName, DispatchTicket};
-use kwg_platform::KeyStore;
+use kwg_store::KeyStore;
 use kwg_telemetry::HybridClock;
 
 use crate::router_pipes::RouterPipes;
--- a/kwg-standin/src/platform/platform_standin.rs
+++ b/kwg-standin/src/platform/platform_standin.rs
@@ -9,7 +9,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use kwg_http::SocketStream;
 use kwg_model::InstanceRow;
-use kwg_platform::InstanceList;
+use kwg_store::InstanceList;
 use serde_json::json;
 
 use super::platform_faults::PlatformFaults;
--- a/kwg-standin/src/platform/table_state.rs
+++ b/kwg-standin/src/platform/table_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use kwg_platform::{RowList, RowWrite, TableRow, TxnRequest};
+use kwg_store::{RowList, RowWrite, TableRow, TxnRequest};
 use serde_json::Value;
 
 /// Tables whose rows carry versions.
--- a/kwg-platform/tests/config_store.rs
+++ b/kwg-store/tests/config_store.rs
@@ -6,7 +6,7 @@
 
 use kwg_clock::ClockHandle;
 use kwg_model::{PoolName, RouteName, RouteRow, ServiceTier, TableSet};
-use kwg_platform::{EditOutcome, EditRequest};
+use kwg_store::{EditOutcome, EditRequest};
 use support::with_platform;
 
 fn request(id: &str) -> EditRequest {
--- a/kwg-platform/tests/support/mod.rs
+++ b/kwg-store/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use http_types::Method;
 use kwg_clock::ClockHandle;
 use kwg_http::CallClient;
-use kwg_platform::{ConfigStore, KeyStore, TableClient};
+use kwg_store::{ConfigStore, KeyStore, TableClient};
 use kwg_standin::PlatformStandin;
 
 fn free_address() -> SocketAddr {
