--- /dev/null
+++ b/knapweedglade/src/command/gateway.rs
@@ -0,0 +1,37 @@
+use kwg_gateway::GatewayProcess;
+use kwg_settings::GatewaySettings;
+use kwg_telemetry::LogQueue;
+use snafu::{OptionExt, ResultExt, ensure};
+
+use crate::arguments::Arguments;
+use crate::command_error::{
+    CommandError, CutShortSnafu, GatewaySnafu, IniSnafu, LogSnafu, UsageSnafu,
+};
+
+const HELP: &str = "\
+Run a gateway until SIGTERM or SIGINT; then answer what was accepted and exit.
+
+USAGE: knapweedglade gateway (--settings FILE | --settings-from NAME)
+
+OPTIONS:
+  --settings FILE        the gateway's settings, in INI (see docs/OPERATIONS.md)
+  --settings-from NAME   the environment variable that holds the file's path
+";
+
+pub(crate) fn run(arguments: &mut Arguments) -> Result<(), CommandError> {
+    if arguments.wants_help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let file: Option<String> = arguments.optional("--settings")?;
+    let variable: Option<String> = arguments.optional("--settings-from")?;
+    arguments.finish()?;
+    let named = variable.and_then(|name| std::env::var(name).ok());
+    let reason = "neither --settings nor a set variable names the settings";
+    let file = file.or(named).context(UsageSnafu { reason })?;
+    let settings = GatewaySettings::load(file).context(IniSnafu)?;
+    LogQueue::install(settings.log_level).context(LogSnafu)?;
+    let outcome = GatewayProcess::run(settings).context(GatewaySnafu)?;
+    ensure!(outcome.drained, CutShortSnafu);
+    Ok(())
+}
--- a/knapweedglade/src/command_error.rs
+++ b/knapweedglade/src/command_error.rs
@@ -1,3 +1,4 @@
+use kwg_gateway::GatewayError;
 use kwg_peer::KeyError;
 use kwg_store::PlatformError;
 use kwg_router::RouterError;
@@ -21,6 +22,9 @@
     /// The router cannot start or go on.
     #[snafu(display("{source}"))]
     Router { source: RouterError },
+    /// The gateway cannot start or go on.
+    #[snafu(display("{source}"))]
+    Gateway { source: GatewayError },
     /// The router was stopped before what it accepted had ended.
     #[snafu(display("stopped before everything accepted had ended"))]
     CutShort,
--- a/knapweedglade/src/main.rs
+++ b/knapweedglade/src/main.rs
@@ -19,6 +19,7 @@
 
 COMMANDS:
   router    run a router
+  gateway   run a gateway on the operators' platform
   check     check settings and tables without starting anything
   tables    show, edit and follow the two tables
   timeline  merge the events of all processes into one order
@@ -53,6 +54,7 @@
 
 fn run(arguments: &mut Arguments) -> Result<(), CommandError> {
     match arguments.subcommand()?.as_deref() {
+        Some("gateway") => command::gateway::run(arguments),
         Some("router") => command::router::run(arguments),
         Some("check") => command::check::run(arguments),
         Some("tables") => command::tables::run(arguments),
--- /dev/null
+++ b/kwg-gate/src/gate_core.rs
@@ -0,0 +1,288 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use crate::session::RoutePlan;
+use crate::target::VersionFilter;
+use crate::{
+    AccountUsage, AttemptEvidence, AttemptSample, FinalWord, GateDigest, GateOptions, PeerBook,
+    PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts, RetryBudget, RouteMatch,
+    RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey, TargetRegistry,
+};
+
+/// When a caller that was refused for want of room should come back: bursts last seconds, and a
+/// place is free again after about a second.
+const ROOM_RETRY: Duration = Duration::from_millis(700);
+/// When it should come back if its service has no target: one is started within seconds.
+const TARGET_RETRY: Duration = Duration::from_millis(500);
+/// Part of the remaining time that a prediction may fill; predictions miss by about as much.
+const PREDICTION_PART: f64 = 0.9;
+
+/// The state behind all decisions of one traffic thread.
+#[derive(Debug, Clone)]
+pub struct GateCore {
+    options: GateOptions,
+    table: Option<Arc<RouteTable>>,
+    orders_revision: u64,
+    registry: Arc<TargetRegistry>,
+    targets: TargetBook,
+    quotas: QuotaBook,
+    budget: RetryBudget,
+    suspects: SuspectBook,
+    peers: PeerBook,
+}
+
+impl GateCore {
+    /// A gateway that knows nothing yet.
+    #[must_use]
+    pub fn new(options: GateOptions) -> Self {
+        Self {
+            targets: TargetBook::new(options.domains.clone()),
+            budget: RetryBudget::new(options.retry),
+            options,
+            table: None,
+            orders_revision: 0,
+            registry: Arc::default(),
+            quotas: QuotaBook::default(),
+            suspects: SuspectBook::default(),
+            peers: PeerBook::default(),
+        }
+    }
+
+    /// The table in force.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// The targets.
+    #[must_use]
+    pub fn targets(&self) -> &TargetBook {
+        &self.targets
+    }
+
+    /// The targets, to count attempts and connections.
+    pub fn targets_mut(&mut self) -> &mut TargetBook {
+        &mut self.targets
+    }
+
+    /// Whether requests can be served: a table and at least one target are known.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.registry.entries().next().is_some()
+    }
+
+    /// Puts a table in force, unless a later one is.
+    pub fn set_table(&mut self, table: &Arc<RouteTable>, orders_revision: u64) -> bool {
+        let is_later = self.table.as_ref().is_none_or(|known| known.version() < table.version());
+        if is_later {
+            self.table = Some(Arc::clone(table));
+        }
+        self.orders_revision = self.orders_revision.max(orders_revision);
+        is_later
+    }
+
+    /// Follows the registry; returns the targets that are gone.
+    pub fn set_registry(&mut self, registry: &Arc<TargetRegistry>) -> Vec<TargetKey> {
+        self.registry = Arc::clone(registry);
+        self.targets.sync(registry)
+    }
+
+    /// Takes what a peer reports.
+    pub fn take_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
+        self.peers.note_heard(peer, now);
+        self.targets.take_digest(peer, digest, now);
+        for usage in &digest.accounts {
+            self.quotas.take_usage(peer, digest.run, &usage.label, usage.used, now);
+        }
+        for (fingerprint, breaks) in &digest.suspects {
+            self.suspects.take_report(*fingerprint, *breaks, now);
+        }
+    }
+
+    /// Forgets the load reports of peers that have fallen silent; returns their names.
+    pub fn drop_silent_peers(&mut self, now: MonoTime) -> Vec<String> {
+        let silent = self.peers.take_silent(now);
+        silent.iter().for_each(|peer| self.targets.drop_peer(peer));
+        silent
+    }
+
+    /// What this instance tells its peers.
+    #[must_use]
+    pub fn digest(&self, run: u64) -> GateDigest {
+        let usage = |(label, used): (&crate::AccountLabel, u64)| {
+            AccountUsage { label: label.clone(), used }
+        };
+        GateDigest {
+            run,
+            orders_revision: self.orders_revision,
+            registry_revision: self.registry.revision(),
+            store_answers: true,
+            accounts: self.quotas.used().map(usage).collect(),
+            targets: self.targets.reports(),
+            suspects: self.suspects.counts().collect(),
+        }
+    }
+
+    pub(crate) fn admit(
+        &mut self,
+        facts: &RequestFacts,
+        draw: f64,
+        now: MonoTime,
+    ) -> Result<(RoutePlan, u8), FinalWord> {
+        let Some(table) = self.table.clone() else {
+            return Err(FinalWord::refused_until(RefusalReason::NoTable, TARGET_RETRY));
+        };
+        let (route, account) = match table.find(&facts.host, &facts.path, facts.key.as_deref()) {
+            RouteMatch::Served { route, account } => (route, account),
+            RouteMatch::NoRoute => return Err(FinalWord::refused(RefusalReason::NoRoute)),
+            RouteMatch::UnknownKey => return Err(FinalWord::refused(RefusalReason::UnknownKey)),
+        };
+        let Some(service) = route.service_for(draw) else {
+            return Err(FinalWord::refused(RefusalReason::NoRoute));
+        };
+        if self.suspects.is_blocked(facts.fingerprint) {
+            return Err(FinalWord::refused(RefusalReason::Suspect));
+        }
+        self.budget.note_request(service, now);
+        let quota = account.and_then(|account| account.quota);
+        let units = quota.map_or(0, |quota| units_of(facts, &quota));
+        if let (Some(account), Some(quota)) = (account, quota) {
+            let taken = self.quotas.take(&account.label, &quota, units, now);
+            taken.map_err(|wait| FinalWord::refused_until(RefusalReason::OverQuota, wait))?;
+        }
+        let engine = table.service(service).and_then(|rule| rule.engine);
+        let plan = RoutePlan {
+            route: route.name.clone(),
+            table_version: table.version(),
+            service: service.clone(),
+            kind: route.kind,
+            target_latency: route.target_latency,
+            gap_target: route.gap_target,
+            account: account.map(|account| account.label.clone()),
+            units,
+            rank: rank_of(route, account.and_then(|account| account.rank)),
+            on_engine: engine.is_some(),
+            tokens_per_event: engine.map_or(1.0, |engine| engine.tokens_per_event),
+            due: facts.deadline.min(facts.arrived + route.timeout),
+            tried: Vec::new(),
+        };
+        Ok((plan, route.max_attempts))
+    }
+
+    pub(crate) fn place(
+        &mut self,
+        facts: &RequestFacts,
+        plan: &RoutePlan,
+        draw: f64,
+        now: MonoTime,
+    ) -> Result<Placement, FinalWord> {
+        if now >= plan.due {
+            self.settle(plan, FinalWord::refused(RefusalReason::TimedOut));
+            return Err(FinalWord::refused(RefusalReason::TimedOut));
+        }
+        let query = PlaceQuery {
+            service: plan.service.as_str(),
+            prompt_tokens: facts.tokens.map_or(0, |tokens| tokens.prompt),
+            on_engine: plan.on_engine,
+            target_latency: plan.target_latency,
+            gap_target: plan.gap_target,
+            tried: &plan.tried,
+            version: VersionFilter::Any,
+        };
+        let left = plan.due.since(now).mul_f64(PREDICTION_PART);
+        let word = match self.targets.place(&query, now, draw) {
+            Some(placement) if placement.expected < left => return Ok(placement),
+            Some(_) => FinalWord::refused_until(RefusalReason::Overloaded, ROOM_RETRY),
+            None => FinalWord::refused_until(RefusalReason::NoTarget, TARGET_RETRY),
+        };
+        self.settle(plan, word);
+        Err(word)
+    }
+
+    pub(crate) fn allow_repeat(
+        &mut self,
+        facts: &RequestFacts,
+        plan: &RoutePlan,
+        evidence: AttemptEvidence,
+        now: MonoTime,
+    ) -> Result<(), FinalWord> {
+        // What was not sent is no arrival and needs no budget.
+        if evidence == AttemptEvidence::NotSent {
+            return Ok(());
+        }
+        let may_have_run = evidence != AttemptEvidence::Declined;
+        let is_blocked = self.suspects.is_blocked(facts.fingerprint);
+        if !is_blocked && self.budget.take(&plan.service, self.peers.instances(), now) {
+            return Ok(());
+        }
+        let word = match may_have_run {
+            true => FinalWord::Unknown(crate::UnknownReason::Cut),
+            false => FinalWord::refused_until(RefusalReason::BudgetSpent, ROOM_RETRY),
+        };
+        self.settle(plan, word);
+        Err(word)
+    }
+
+    pub(crate) fn note_attempt_end(
+        &mut self,
+        facts: &RequestFacts,
+        plan: &RoutePlan,
+        target: TargetKey,
+        evidence: AttemptEvidence,
+        now: MonoTime,
+    ) {
+        match evidence {
+            // Declining is load, not illness; the time of a caller says nothing of the target.
+            AttemptEvidence::Declined | AttemptEvidence::TimedOut => {}
+            AttemptEvidence::Cut => {
+                if plan.on_engine || plan.kind.is_repeatable() {
+                    self.suspects.note_break(facts.fingerprint, now);
+                }
+                self.targets.note_failure(target, now);
+            }
+            _ => self.targets.note_failure(target, now),
+        }
+    }
+
+    pub(crate) fn note_answer(&mut self, target: TargetKey, sample: &AttemptSample, now: MonoTime) {
+        self.targets.note_success(target, sample, now);
+    }
+
+    /// Gives back the quota of a request that has not run.
+    pub(crate) fn settle(&mut self, plan: &RoutePlan, word: FinalWord) {
+        if let (FinalWord::Refused { .. }, Some(account)) = (word, &plan.account) {
+            self.quotas.give_back(account, plan.units);
+        }
+    }
+
+    pub(crate) fn with_return_time(&self, word: FinalWord) -> FinalWord {
+        match word {
+            FinalWord::Refused { reason: RefusalReason::Declined, .. } => {
+                FinalWord::refused_until(RefusalReason::Declined, ROOM_RETRY)
+            }
+            word => word,
+        }
+    }
+
+    /// What the gateway was told at its start.
+    #[must_use]
+    pub fn options(&self) -> &GateOptions {
+        &self.options
+    }
+}
+
+fn units_of(facts: &RequestFacts, quota: &crate::QuotaRule) -> u64 {
+    match (quota.counts_tokens, facts.tokens) {
+        (true, Some(tokens)) => tokens.prompt + tokens.output,
+        (true, None) => quota.plain_tokens,
+        (false, _) => 1,
+    }
+}
+
+/// An account's rank goes before the route's.
+fn rank_of(route: &RouteRule, account: Option<u32>) -> u32 {
+    const RANKS: u32 = 1_000;
+    account.unwrap_or(0).min(RANKS) * RANKS + route.rank.min(RANKS - 1)
+}
--- /dev/null
+++ b/kwg-gate/src/gate_options.rs
@@ -0,0 +1,10 @@
+use crate::{DomainMap, RetryBudgetOptions};
+
+/// What a gateway is told at its start.
+#[derive(Debug, Clone, Default)]
+pub struct GateOptions {
+    /// Where it stands.
+    pub domains: DomainMap,
+    /// What all instances together may spend on repeats.
+    pub retry: RetryBudgetOptions,
+}
--- /dev/null
+++ b/kwg-gate/src/peer/peer_book.rs
@@ -0,0 +1,45 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+/// Silence after which a peer's load no longer counts: its requests have ended or been cut.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+
+/// When each peer was last heard.
+#[derive(Debug, Clone, Default)]
+pub struct PeerBook {
+    heard: HashMap<String, MonoTime>,
+    most: u32,
+}
+
+impl PeerBook {
+    /// Notes that a peer was heard.
+    pub fn note_heard(&mut self, peer: &str, now: MonoTime) {
+        match self.heard.get_mut(peer) {
+            Some(at) => *at = now,
+            None => {
+                self.heard.insert(peer.to_owned(), now);
+            }
+        }
+        self.most = self.most.max(u32::try_from(self.heard.len()).unwrap_or(u32::MAX));
+    }
+
+    /// Removes and returns the peers that have fallen silent.
+    pub fn take_silent(&mut self, now: MonoTime) -> Vec<String> {
+        let is_silent = |at: &MonoTime| now.since(*at) > SILENT_AFTER;
+        let silent: Vec<String> =
+            self.heard.iter().filter(|(_, at)| is_silent(at)).map(|(peer, _)| peer.clone()).collect();
+        silent.iter().for_each(|peer| {
+            self.heard.remove(peer);
+        });
+        silent
+    }
+
+    /// The most instances that were there at one time, this one included: a part of a shared
+    /// budget that was dealt out while a peer is out of touch must not be dealt out again.
+    #[must_use]
+    pub fn instances(&self) -> u32 {
+        self.most + 1
+    }
+}
--- /dev/null
+++ b/kwg-gate/src/registry/target_registry.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use crate::{TargetEntry, TargetId};
+
+/// How long entries that vanished with an outage of the store are still believed. Live targets
+/// are back within two seconds of its return, and drained ones must be left alone after 2.5 s.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+
+/// Every known target. Changes apply in the order of their revisions.
+#[derive(Debug, Clone, Default)]
+pub struct TargetRegistry {
+    revision: u64,
+    entries: BTreeMap<TargetId, TargetEntry>,
+    lapsed: BTreeMap<TargetId, MonoTime>,
+    grace_until: MonoTime,
+}
+
+impl TargetRegistry {
+    /// The revision that has been applied.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The targets that are believed to exist.
+    pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.entries.values()
+    }
+
+    /// A target.
+    #[must_use]
+    pub fn get(&self, id: &TargetId) -> Option<&TargetEntry> {
+        self.entries.get(id)
+    }
+
+    /// Notes that the store has come back after an outage: entries that vanish now may have
+    /// lapsed while their targets could not reach it.
+    pub fn note_store_return(&mut self, now: MonoTime) {
+        self.grace_until = now + LAPSE_GRACE;
+    }
+
+    /// Applies one change; `None` removes the entry. Older revisions change nothing.
+    pub fn apply(&mut self, revision: u64, id: &TargetId, entry: Option<TargetEntry>, now: MonoTime) {
+        match entry {
+            Some(entry) => {
+                self.lapsed.remove(id);
+                self.entries.insert(id.clone(), entry);
+            }
+            None => self.remove(id, now),
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes a full reading; entries that it lacks are gone.
+    pub fn replace(&mut self, revision: u64, entries: impl IntoIterator<Item = TargetEntry>, now: MonoTime) {
+        let mut missing: Vec<TargetId> = self.entries.keys().cloned().collect();
+        for entry in entries {
+            missing.retain(|id| *id != entry.id);
+            let id = entry.id.clone();
+            self.apply(revision, &id, Some(entry), now);
+        }
+        missing.iter().for_each(|id| self.remove(id, now));
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Forgets lapsed entries whose grace is over; returns them.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<TargetId> {
+        let due: Vec<TargetId> =
+            self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            self.lapsed.remove(id);
+            self.entries.remove(id);
+        }
+        due
+    }
+
+    /// When [`Self::expire`] has something to do.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<MonoTime> {
+        self.lapsed.values().min().copied()
+    }
+
+    fn remove(&mut self, id: &TargetId, now: MonoTime) {
+        let is_draining = self.entries.get(id).is_some_and(|entry| entry.is_draining);
+        if now < self.grace_until && !is_draining && self.entries.contains_key(id) {
+            let until = self.grace_until;
+            self.lapsed.entry(id.clone()).or_insert(until);
+        } else {
+            self.lapsed.remove(id);
+            self.entries.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/kwg-gate/src/table/mod.rs
@@ -0,0 +1,15 @@
+//! The routes, services and accounts in force, as one immutable table.
+
+mod account_rule;
+mod caller_limits;
+mod request_kind;
+mod route_rule;
+mod route_table;
+mod service_rule;
+
+pub use account_rule::{AccountRule, QuotaRule};
+pub use caller_limits::CallerLimits;
+pub use request_kind::RequestKind;
+pub use route_rule::{RoutePool, RouteRule};
+pub use route_table::{RouteMatch, RouteTable};
+pub use service_rule::{EngineRule, ServiceRule};
--- /dev/null
+++ b/kwg-gate/src/table/route_table.rs
@@ -0,0 +1,100 @@
+use std::collections::HashMap;
+
+use crate::{AccountRule, CallerLimits, RouteRule, ServiceName, ServiceRule};
+
+/// One version of the configuration, ready to be looked up.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    version: u64,
+    hosts: HashMap<String, Vec<RouteRule>>,
+    services: HashMap<ServiceName, ServiceRule>,
+    accounts: Vec<AccountRule>,
+    keys: HashMap<String, usize>,
+    limits: CallerLimits,
+}
+
+/// What a table says about a request's host, path and key.
+#[derive(Debug, Clone, Copy)]
+pub enum RouteMatch<'a> {
+    /// It is served.
+    Served {
+        /// The route.
+        route: &'a RouteRule,
+        /// The account that holds the key, if keys are in use.
+        account: Option<&'a AccountRule>,
+    },
+    /// No route takes it.
+    NoRoute,
+    /// Nobody holds its key.
+    UnknownKey,
+}
+
+impl RouteTable {
+    /// A table of this version. Of routes with the same host and prefix the first one counts.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        routes: impl IntoIterator<Item = RouteRule>,
+        services: impl IntoIterator<Item = ServiceRule>,
+        accounts: impl IntoIterator<Item = (AccountRule, Vec<String>)>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut table = Self { version, limits, ..Self::default() };
+        for route in routes {
+            table.hosts.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in table.hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        table.services = services.into_iter().map(|rule| (rule.name.clone(), rule)).collect();
+        for (index, (account, keys)) in accounts.into_iter().enumerate() {
+            table.accounts.push(account);
+            table.keys.extend(keys.into_iter().map(|key| (key, index)));
+        }
+        table
+    }
+
+    /// The version; later ones are higher.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// A service's rule.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountRule> {
+        self.accounts.iter()
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.hosts.values().flatten()
+    }
+
+    /// Finds the route with the longest prefix, and the account of a key. `host` may end in a
+    /// port; `path` has no query.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
+        let Some(route) = routes.iter().find(|route| path.starts_with(&route.prefix)) else {
+            return RouteMatch::NoRoute;
+        };
+        let account = key.and_then(|key| self.keys.get(key)).map(|index| &self.accounts[*index]);
+        if account.is_none() && !route.is_open && !self.accounts.is_empty() {
+            return RouteMatch::UnknownKey;
+        }
+        RouteMatch::Served { route, account }
+    }
+}
--- /dev/null
+++ b/kwg-gate/src/target/mod.rs
@@ -0,0 +1,11 @@
+//! What is believed of each target, and which one a request is sent to.
+
+mod learned_mean;
+mod placement;
+mod target_book;
+mod target_health;
+mod target_state;
+
+pub use placement::{PlaceQuery, Placement, VersionFilter};
+pub use target_book::{TargetBook, TargetKey};
+pub use target_state::AttemptSample;
--- /dev/null
+++ b/kwg-gate/src/target/placement.rs
@@ -0,0 +1,115 @@
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use super::target_state::TargetState;
+use crate::{DomainMap, LoadDistance, TargetKey};
+
+/// Time that an engine needs beside reading the prompt, in milliseconds; from the site files.
+const FIRST_EVENT_MS: f64 = 8.0;
+/// Cost of crossing into another failure domain of the region, as a share of an answer's worth:
+/// the price of the bytes of a middling request on the sites' price lists.
+const REGION_COST: f64 = 0.01;
+/// Cost of crossing into another region, likewise.
+const FAR_COST: f64 = 0.04;
+/// Cost of a new connection, likewise.
+const CONNECT_COST: f64 = 0.03;
+/// Cost of filling a batch: its tokens come more slowly.
+const BATCH_COST: f64 = 0.08;
+/// Cost of a certain failure: the answer, and a part of what the repeat takes from others.
+const FAILURE_COST: f64 = 2.0;
+/// Lateness beyond which more of it makes no difference.
+const LATENESS_LIMIT: f64 = 8.0;
+
+/// What a target is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Whether the targets are batching engines.
+    pub on_engine: bool,
+    /// Time within which the first event, or the answer, is on time.
+    pub target_latency: Duration,
+    /// Longest pause between events with which a stream is on time.
+    pub gap_target: Option<Duration>,
+    /// Targets that have been tried.
+    pub tried: &'a [TargetKey],
+    /// The only version that may get it, or the one that must not.
+    pub version: VersionFilter<'a>,
+}
+
+/// Which versions may get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionFilter<'a> {
+    /// Any.
+    Any,
+    /// Only this one.
+    Only(&'a str),
+    /// All but this one.
+    Except(&'a str),
+}
+
+/// Where a request goes, and what that was decided on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Placement {
+    /// The target.
+    pub target: TargetKey,
+    /// When the first event, or the answer, is expected.
+    pub expected: Duration,
+    /// Requests believed to run there.
+    pub load: u32,
+    /// The age of the oldest report behind that belief.
+    pub load_age: Duration,
+}
+
+impl VersionFilter<'_> {
+    pub(crate) fn admits(self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Except(except) => version != except,
+        }
+    }
+}
+
+/// When the first event, or the answer, of a request may be expected, in milliseconds.
+pub(crate) fn expected_ms(state: &TargetState, query: &PlaceQuery<'_>, distance: LoadDistance) -> f64 {
+    let slots = f64::from(state.entry.slots.max(1));
+    let excess = (f64::from(state.load()) - slots + 1.0).max(0.0);
+    let queue_ms = excess / slots * state.hold_ms();
+    let work_ms = match query.on_engine {
+        true => {
+            let tokens = query.prompt_tokens + state.waiting_tokens();
+            FIRST_EVENT_MS + tokens as f64 * state.read_ms_per_token()
+        }
+        false => state.hold_ms(),
+    };
+    distance.round_trip().as_secs_f64() * 1e3 + queue_ms + work_ms
+}
+
+/// The cost of sending a request to a target, as a share of its worth.
+pub(crate) fn cost(
+    state: &TargetState,
+    query: &PlaceQuery<'_>,
+    domains: &DomainMap,
+    now: MonoTime,
+) -> (f64, f64) {
+    let distance = domains.distance(&state.entry.domain);
+    let expected = expected_ms(state, query, distance);
+    let aim = query.target_latency.as_secs_f64() * 1e3;
+    let lateness = (expected / aim.max(1.0)).min(LATENESS_LIMIT);
+    let gap = query.gap_target.map_or(0.0, |gap_target| {
+        (state.gap_ms() / (gap_target.as_secs_f64() * 1e3)).min(1.5)
+    });
+    let crossing = match distance {
+        LoadDistance::Domain => 0.0,
+        LoadDistance::Region => REGION_COST,
+        LoadDistance::Far => FAR_COST,
+    };
+    let connecting = if state.idle_connections == 0 { CONNECT_COST } else { 0.0 };
+    let batch = BATCH_COST * f64::from(state.load()) / f64::from(state.entry.slots.max(1));
+    let failing = FAILURE_COST * state.health.failure_share(now);
+    (lateness * lateness + 0.3 * gap * gap + crossing + connecting + batch + failing, expected)
+}
--- /dev/null
+++ b/kwg-gate/src/target/target_book.rs
@@ -0,0 +1,192 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+use slotmap::{SlotMap, new_key_type};
+
+use super::placement;
+use super::target_state::TargetState;
+use crate::{
+    AttemptSample, DomainMap, GateDigest, PlaceQuery, Placement, TargetEntry, TargetId,
+    TargetRegistry, TargetReport,
+};
+
+new_key_type! {
+    /// A target in the book.
+    pub struct TargetKey;
+}
+
+/// Everything that is believed of the targets.
+#[derive(Debug, Clone, Default)]
+pub struct TargetBook {
+    domains: DomainMap,
+    targets: SlotMap<TargetKey, TargetState>,
+    ids: HashMap<TargetId, TargetKey>,
+}
+
+impl TargetBook {
+    /// An empty book of an instance that stands in `domains.own`.
+    #[must_use]
+    pub fn new(domains: DomainMap) -> Self {
+        Self { domains, ..Self::default() }
+    }
+
+    /// Follows the registry; returns the targets that have left it.
+    pub fn sync(&mut self, registry: &TargetRegistry) -> Vec<TargetKey> {
+        for entry in registry.entries() {
+            let known = self.ids.get(&entry.id).and_then(|key| self.targets.get_mut(*key));
+            match known {
+                // A run under an old name starts with nothing of what was learned.
+                Some(state) if state.entry.born == entry.born => state.entry = entry.clone(),
+                _ => {
+                    let key = self.targets.insert(TargetState::new(entry.clone()));
+                    if let Some(before) = self.ids.insert(entry.id.clone(), key) {
+                        self.targets.remove(before);
+                    }
+                }
+            }
+        }
+        let gone: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, state)| registry.get(&state.entry.id).is_none())
+            .map(|(key, _)| key)
+            .collect();
+        for key in &gone {
+            if let Some(state) = self.targets.remove(*key) {
+                self.ids.remove(&state.entry.id);
+            }
+        }
+        gone
+    }
+
+    /// What a target says about itself.
+    #[must_use]
+    pub fn entry(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key).map(|state| &state.entry)
+    }
+
+    /// Chooses the target at the lowest cost; `None` if none may be used.
+    #[must_use]
+    pub fn place(&self, query: &PlaceQuery<'_>, now: MonoTime, draw: f64) -> Option<Placement> {
+        let fits = |state: &TargetState| {
+            state.entry.service.as_str() == query.service
+                && !state.entry.is_draining
+                && query.version.admits(&state.entry.version)
+        };
+        let candidates = || self.targets.iter().filter(|(_, state)| fits(state));
+        let open = candidates()
+            .filter(|(key, state)| !query.tried.contains(key) && state.health.is_open(now));
+        // With every target paused, the least bad one is still better than a refusal.
+        self.cheapest(open, query, now, draw).or_else(|| {
+            let untried = candidates().filter(|(key, _)| !query.tried.contains(key));
+            self.cheapest(untried, query, now, draw)
+        })
+    }
+
+    fn cheapest<'a>(
+        &self,
+        candidates: impl Iterator<Item = (TargetKey, &'a TargetState)>,
+        query: &PlaceQuery<'_>,
+        now: MonoTime,
+        draw: f64,
+    ) -> Option<Placement> {
+        let mut best: Option<(f64, Placement)> = None;
+        for (index, (key, state)) in candidates.enumerate() {
+            let (cost, expected) = placement::cost(state, query, &self.domains, now);
+            // A little chance keeps instances that see the same reports from moving together.
+            let noise = 0.01 * ((draw * 7_919.0 * (index as f64 + 1.0)).fract());
+            let cost = cost + noise;
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                let placement = Placement {
+                    target: key,
+                    expected: Duration::from_secs_f64(expected / 1e3),
+                    load: state.load(),
+                    load_age: state.load_age(now),
+                };
+                best = Some((cost, placement));
+            }
+        }
+        best.map(|(_, placement)| placement)
+    }
+
+    /// Whether a service has free places by the best estimate, and how many targets it has.
+    #[must_use]
+    pub fn free_places(&self, service: &str) -> (u32, u32) {
+        let targets = self.targets.values().filter(|state| {
+            state.entry.service.as_str() == service && !state.entry.is_draining
+        });
+        targets.fold((0, 0), |(free, count), state| {
+            (free + state.entry.slots.saturating_sub(state.load()), count + 1)
+        })
+    }
+
+    /// Counts an attempt that is about to be sent.
+    pub fn begin(&mut self, key: TargetKey, prompt_tokens: u64) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.running += 1;
+            state.unread_tokens += prompt_tokens;
+            state.health.note_sent();
+        }
+    }
+
+    /// The prompt of an attempt has been read: its first event is here, or it has ended.
+    pub fn note_read(&mut self, key: TargetKey, prompt_tokens: u64) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.unread_tokens = state.unread_tokens.saturating_sub(prompt_tokens);
+        }
+    }
+
+    /// An attempt no longer occupies the target.
+    pub fn end(&mut self, key: TargetKey) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.running = state.running.saturating_sub(1);
+            state.health.note_no_answer();
+        }
+    }
+
+    /// Learns from an attempt that ended well.
+    pub fn note_success(&mut self, key: TargetKey, sample: &AttemptSample, now: MonoTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.good += 1;
+            state.health.note_success(now);
+            state.add_sample(sample);
+        }
+    }
+
+    /// Learns from an attempt that the target failed.
+    pub fn note_failure(&mut self, key: TargetKey, now: MonoTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.bad += 1;
+            state.health.note_failure(now);
+        }
+    }
+
+    /// Notes how many connections to a target wait for use.
+    pub fn note_idle_connections(&mut self, key: TargetKey, count: usize) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.idle_connections = u32::try_from(count).unwrap_or(u32::MAX);
+        }
+    }
+
+    /// Takes what a peer reports.
+    pub fn take_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
+        for (id, report) in &digest.targets {
+            let key = self.ids.get(id).copied();
+            if let Some(state) = key.and_then(|key| self.targets.get_mut(key)) {
+                state.take_report(peer, *report, now);
+            }
+        }
+    }
+
+    /// Forgets what a peer has reported.
+    pub fn drop_peer(&mut self, peer: &str) {
+        self.targets.values_mut().for_each(|state| state.drop_report(peer));
+    }
+
+    /// What this instance tells its peers of the targets.
+    #[must_use]
+    pub fn reports(&self) -> Vec<(TargetId, TargetReport)> {
+        self.targets.values().map(|state| (state.entry.id.clone(), state.report())).collect()
+    }
+}
--- /dev/null
+++ b/kwg-gateway/src/control/control_hub.rs
@@ -0,0 +1,206 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use kwg_adapter::{ConfigDecoder, EntryDecoder, StoreRow};
+use kwg_clock::ClockHandle;
+use kwg_gate::{TargetEntry, TargetId, TargetRegistry};
+use kwg_settings::GatewaySettings;
+use kwg_telemetry::EventLine;
+use kwg_wire::SharedTable;
+
+use super::table_mirror::TableMirror;
+use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_pipes::TrafficInput;
+
+/// What the tasks of the control thread share. Borrows end before anything is awaited.
+#[derive(Debug)]
+pub(crate) struct ControlHub {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) run: u64,
+    pub(crate) clock: ClockHandle,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) traffic: Sender<TrafficInput>,
+    pub(crate) mirrors: RefCell<HashMap<SharedTable, TableMirror>>,
+    pub(crate) registry: RefCell<TargetRegistry>,
+    pub(crate) store_answers: RefCell<HashMap<SharedTable, bool>>,
+    table_version: Cell<u64>,
+}
+
+impl ControlHub {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        run: u64,
+        clock: ClockHandle,
+        metrics: GatewayMetrics,
+        traffic: Sender<TrafficInput>,
+    ) -> Self {
+        Self {
+            settings,
+            run,
+            clock,
+            metrics,
+            traffic,
+            mirrors: RefCell::default(),
+            registry: RefCell::default(),
+            store_answers: RefCell::default(),
+            table_version: Cell::new(0),
+        }
+    }
+
+    /// The revision of a table that is known here.
+    pub(crate) fn revision(&self, table: SharedTable) -> u64 {
+        self.mirrors.borrow().get(&table).map_or(0, TableMirror::revision)
+    }
+
+    /// Whether the store answers for every table.
+    pub(crate) fn store_answers(&self) -> bool {
+        let answers = self.store_answers.borrow();
+        !answers.is_empty() && answers.values().all(|answers| *answers)
+    }
+
+    /// Notes whether the store answers, and logs a change of that.
+    pub(crate) fn note_store(&self, table: SharedTable, answers: bool, reason: &str) {
+        let before = self.store_answers.borrow_mut().insert(table, answers);
+        if before == Some(answers) {
+            return;
+        }
+        let event = if answers { "store-regained" } else { "store-lost" };
+        let line = EventLine::new(event).field("table", table_name(table));
+        log::info!("{}", line.field("revision", self.revision(table)).field("reason", reason));
+        if answers && before == Some(false) && table == SharedTable::Targets {
+            self.registry.borrow_mut().note_store_return(self.clock.now());
+        }
+    }
+
+    /// Takes changes of a table.
+    pub(crate) fn take_changes(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
+        let news = {
+            let mut mirrors = self.mirrors.borrow_mut();
+            mirrors.entry(table).or_default().apply(rows, revision)
+        };
+        match table {
+            SharedTable::Orders => news.iter().for_each(|row| self.take_order(row)),
+            SharedTable::Targets => {
+                let now = self.clock.now();
+                for row in &news {
+                    let entry = row.value.as_deref().and_then(|value| decode_entry(&row.key, value));
+                    let id = TargetId::new(&row.key);
+                    log_target(&id, entry.as_ref(), row.revision);
+                    self.registry.borrow_mut().apply(row.revision, &id, entry, now);
+                }
+                if !news.is_empty() {
+                    self.publish_registry();
+                }
+            }
+        }
+    }
+
+    /// Takes a full reading of a table, from the store or from a peer.
+    pub(crate) fn take_reading(
+        &self,
+        table: SharedTable,
+        rows: Vec<(String, u64, Vec<u8>)>,
+        revision: u64,
+        source: &str,
+    ) {
+        let is_news = {
+            let mut mirrors = self.mirrors.borrow_mut();
+            mirrors.entry(table).or_default().replace(rows.clone(), revision)
+        };
+        if !is_news {
+            return;
+        }
+        let line = EventLine::new("table-read").field("table", table_name(table));
+        let line = line.field("revision", revision).field("rows", rows.len());
+        log::info!("{}", line.field("source", source));
+        match table {
+            SharedTable::Orders => {
+                for (key, revision, value) in rows {
+                    self.take_order(&StoreRow { key, value: Some(value), revision });
+                }
+            }
+            SharedTable::Targets => {
+                let entries: Vec<TargetEntry> =
+                    rows.iter().filter_map(|(key, _, value)| decode_entry(key, value)).collect();
+                let now = self.clock.now();
+                self.registry.borrow_mut().replace(revision, entries, now);
+                self.publish_registry();
+            }
+        }
+    }
+
+    /// Drops lapsed targets whose time is over.
+    pub(crate) fn expire_targets(&self) {
+        let gone = self.registry.borrow_mut().expire(self.clock.now());
+        if !gone.is_empty() {
+            gone.iter().for_each(|id| log_target(id, None, 0));
+            self.publish_registry();
+        }
+    }
+
+    /// Sends something to the traffic thread. It is gone only when the process ends.
+    pub(crate) fn tell_traffic(&self, input: TrafficInput) {
+        if self.traffic.try_send(input).is_err() {
+            log::debug!("event=traffic-gone");
+        }
+    }
+
+    fn publish_registry(&self) {
+        let registry = Arc::new(self.registry.borrow().clone());
+        self.tell_traffic(TrafficInput::Registry(registry));
+    }
+
+    fn take_order(&self, row: &StoreRow) {
+        let Some(value) = row.value.as_deref().filter(|_| ConfigDecoder::is_config(&row.key)) else {
+            return;
+        };
+        match ConfigDecoder::decode(value) {
+            Ok(table) if table.version() >= self.table_version.get() => {
+                self.table_version.set(table.version());
+                self.tell_traffic(TrafficInput::Table(Arc::new(table), row.revision));
+            }
+            Ok(table) => {
+                let line = EventLine::new("table-outdated").field("version", table.version());
+                log::info!("{}", line.field("in_force", self.table_version.get()));
+            }
+            Err(error) => {
+                let line = EventLine::new("table-unreadable").field("revision", row.revision);
+                log::error!("{}", line.field("error", error));
+            }
+        }
+    }
+}
+
+pub(crate) fn table_name(table: SharedTable) -> &'static str {
+    match table {
+        SharedTable::Orders => "orders",
+        SharedTable::Targets => "targets",
+    }
+}
+
+/// An entry that cannot be read names no target; the others hold.
+fn decode_entry(key: &str, value: &[u8]) -> Option<TargetEntry> {
+    match EntryDecoder::decode(key, value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            let line = EventLine::new("entry-unreadable").field("key", key).field("error", error);
+            log::warn!("{line}");
+            None
+        }
+    }
+}
+
+fn log_target(id: &TargetId, entry: Option<&TargetEntry>, revision: u64) {
+    let line = EventLine::new("target-changed").field("target", id).field("revision", revision);
+    let line = match entry {
+        Some(entry) => line
+            .field("service", &entry.service)
+            .field("address", entry.address)
+            .field("version", &entry.version)
+            .field("draining", entry.is_draining),
+        None => line.field("gone", true),
+    };
+    log::info!("{line}");
+}
--- /dev/null
+++ b/kwg-gateway/src/control/instance_desk.rs
@@ -0,0 +1,115 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable, StoreWrite, WriteReply};
+use kwg_peer::FleetAuthority;
+
+use super::control_hub::ControlHub;
+use super::store_link::StoreLink;
+
+/// The row that holds the fleet's authority.
+const AUTHORITY_KEY: &str = "authority";
+/// Prefix of the rows that say where instances are.
+const INSTANCE_PREFIX: &str = "instance/";
+/// Separates the certificate from the key in the authority's row.
+const PEM_BREAK: &str = "\n====\n";
+/// Longest time for an answer of the store.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// Finds the other instances through the store, and is found there.
+#[derive(Debug)]
+pub(crate) struct InstanceDesk {
+    hub: Rc<ControlHub>,
+    link: StoreLink,
+}
+
+/// What the store says about the fleet.
+#[derive(Debug)]
+pub(crate) struct FleetReading {
+    pub(crate) authority: FleetAuthority,
+    pub(crate) peers: Vec<(String, SocketAddr)>,
+}
+
+impl InstanceDesk {
+    pub(crate) fn new(hub: &Rc<ControlHub>) -> Self {
+        let link = StoreLink::new(hub.settings.store, hub.clock.clone());
+        Self { hub: Rc::clone(hub), link }
+    }
+
+    /// Writes this instance's row and reads all, again and again until the store has answered.
+    pub(crate) async fn join(&mut self) -> FleetReading {
+        loop {
+            match self.try_join().await {
+                Ok(reading) => return reading,
+                Err(reason) => log::info!("event=join-failed reason=\"{reason}\""),
+            }
+            self.hub.clock.sleep(PAUSE).await;
+        }
+    }
+
+    /// Removes this instance's row. Others notice a missing instance anyway.
+    pub(crate) async fn leave(&mut self) {
+        let key = self.own_key();
+        let write = StoreWrite { table: StoreTable::Instances, key: &key, value: None, expected: None };
+        if let Err(reason) = self.write(&write).await {
+            log::info!("event=leave-failed reason=\"{reason}\"");
+        }
+    }
+
+    async fn try_join(&mut self) -> Result<FleetReading, String> {
+        let (key, address) = (self.own_key(), self.hub.settings.peer.to_string());
+        let value = Some(address.as_bytes());
+        let write = StoreWrite { table: StoreTable::Instances, key: &key, value, expected: None };
+        self.write(&write).await?;
+        loop {
+            let reading = self.read().await?;
+            let row = |key: &str| reading.rows.iter().find(|row| row.key == key);
+            let authority = row(AUTHORITY_KEY).and_then(|row| row.value.as_deref());
+            if let Some(authority) = authority.and_then(decode_authority) {
+                let peers = reading.rows.iter().filter_map(|row| {
+                    let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
+                    let address = String::from_utf8_lossy(row.value.as_deref()?).parse().ok()?;
+                    Some((name.to_owned(), address))
+                });
+                return Ok(FleetReading { authority, peers: peers.collect() });
+            }
+            // The first instance to come makes the authority; the others find it.
+            let fresh = FleetAuthority::generate().map_err(|error| error.to_string())?;
+            let value = format!("{}{PEM_BREAK}{}", fresh.certificate(), fresh.key());
+            let write = StoreWrite {
+                table: StoreTable::Instances,
+                key: AUTHORITY_KEY,
+                value: Some(value.as_bytes()),
+                expected: Some(row(AUTHORITY_KEY).map_or(0, |row| row.revision)),
+            };
+            self.write(&write).await?;
+        }
+    }
+
+    async fn read(&mut self) -> Result<StoreReading, String> {
+        let (status, body) = self.call(&StoreCodec::encode_read(StoreTable::Instances, "")).await?;
+        StoreCodec::decode_rows(status, &body).map_err(|error: StoreError| error.to_string())
+    }
+
+    async fn write(&mut self, write: &StoreWrite<'_>) -> Result<WriteReply, String> {
+        let (status, body) = self.call(&StoreCodec::encode_write(write)).await?;
+        StoreCodec::decode_write(status, &body).map_err(|error| error.to_string())
+    }
+
+    async fn call(&mut self, request: &[u8]) -> Result<(u16, Vec<u8>), String> {
+        self.link.call(request, CALL_LIMIT).await.map_err(|error| error.to_string())
+    }
+
+    fn own_key(&self) -> String {
+        format!("{INSTANCE_PREFIX}{}", self.hub.settings.name)
+    }
+}
+
+fn decode_authority(value: &[u8]) -> Option<FleetAuthority> {
+    let text = std::str::from_utf8(value).ok()?;
+    let (certificate, key) = text.split_once(PEM_BREAK)?;
+    Some(FleetAuthority::from_pem(certificate, key))
+}
--- /dev/null
+++ b/kwg-gateway/src/control/metrics_server.rs
@@ -0,0 +1,54 @@
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use kwg_h1::{HeadWriter, RequestHead};
+
+use crate::gateway_metrics::GatewayMetrics;
+use crate::socket::ByteSocket;
+
+/// Longest question.
+const MAX_HEAD: usize = 8 << 10;
+/// Longest time for a question and its answer.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Serves the metrics, one question at a time.
+pub(crate) async fn serve_metrics(listener: Async<TcpListener>, metrics: GatewayMetrics) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let timeout = async {
+                    Timer::after(CALL_LIMIT).await;
+                };
+                answer(stream, &metrics).or(timeout).await;
+            }
+            Err(error) => {
+                log::warn!("event=accept-failed error=\"{error}\"");
+                Timer::after(CALL_LIMIT).await;
+            }
+        }
+    }
+}
+
+async fn answer(stream: Async<TcpStream>, metrics: &GatewayMetrics) {
+    let mut socket = ByteSocket::new(stream);
+    let (mut reader, writer) = socket.split();
+    let head = loop {
+        match RequestHead::parse(reader.inbox(), MAX_HEAD) {
+            Ok(Some((head, _))) => break head,
+            Ok(None) if matches!(reader.fill().await, Ok(count) if count > 0) => {}
+            _ => return,
+        }
+    };
+    let (status, body) = match head.target.as_str() {
+        "/metrics" => (200, metrics.render()),
+        _ => (404, String::new()),
+    };
+    let mut reply = HeadWriter::reply(status);
+    reply.field("Content-Type", "application/openmetrics-text; version=1.0.0; charset=utf-8");
+    reply.field("Connection", "close");
+    if let Err((_, error)) = writer.write(&reply.finish_with(body.as_bytes())).await {
+        log::debug!("event=metrics-reader-gone error={error}");
+    }
+}
--- /dev/null
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender, bounded, unbounded};
+use kwg_gate::{GateDigest, RouteTable, TargetRegistry};
+
+/// Digests that wait for the control thread; an old one is worth nothing.
+const DIGESTS_WAITING: usize = 4;
+
+/// What the control thread tells the traffic thread.
+#[derive(Debug, Clone)]
+pub(crate) enum TrafficInput {
+    /// The configuration in force, and the revision of the orders behind it.
+    Table(Arc<RouteTable>, u64),
+    /// The targets.
+    Registry(Arc<TargetRegistry>),
+    /// What a peer reports.
+    Digest(String, Box<GateDigest>),
+    /// Serve what is there, take no new work.
+    Stop,
+    /// Close idle connections.
+    CloseIdle,
+}
+
+/// What the traffic thread tells the control thread.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnDigest(pub(crate) GateDigest);
+
+/// The pipes between the threads.
+#[derive(Debug, Clone)]
+pub(crate) struct GatewayPipes {
+    pub(crate) to_traffic: Sender<TrafficInput>,
+    pub(crate) from_control: Receiver<TrafficInput>,
+    pub(crate) to_control: Sender<OwnDigest>,
+    pub(crate) from_traffic: Receiver<OwnDigest>,
+}
+
+impl GatewayPipes {
+    /// Empty pipes. The one to the traffic thread grows with what the store and peers say, which
+    /// is bounded by their rates.
+    pub(crate) fn new() -> Self {
+        let (to_traffic, from_control) = unbounded();
+        let (to_control, from_traffic) = bounded(DIGESTS_WAITING);
+        Self { to_traffic, from_control, to_control, from_traffic }
+    }
+}
+
+/// Where the process listens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ListenAddresses {
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+}
--- /dev/null
+++ b/kwg-gateway/src/gateway_process.rs
@@ -0,0 +1,134 @@
+use std::net::{SocketAddr, TcpListener};
+use std::thread::Builder;
+use std::time::Duration;
+
+use async_channel::bounded;
+use async_io::block_on;
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use kwg_clock::ClockHandle;
+use kwg_settings::GatewaySettings;
+use kwg_telemetry::EventLine;
+use rand::random;
+use snafu::ResultExt;
+
+use crate::GatewayError;
+use crate::control::ControlThread;
+use crate::gateway_error::{ListenSnafu, SignalsSnafu, ThreadSnafu};
+use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_pipes::{GatewayPipes, ListenAddresses, TrafficInput};
+use crate::traffic::TrafficThread;
+
+/// How long callers' idle connections stay open after a stop: requests that are on their way
+/// still come, and a balancer needs two misses, a second apart, to look elsewhere.
+const IDLE_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Time kept free before the process would be killed.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
+
+/// A gateway as a process.
+#[derive(Debug)]
+pub struct GatewayProcess;
+
+/// How a gateway stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatewayOutcome {
+    /// Whether everything accepted had ended.
+    pub drained: bool,
+}
+
+impl GatewayProcess {
+    /// Runs a gateway until SIGTERM or SIGINT, and until what it accepted has ended.
+    ///
+    /// # Errors
+    /// [`GatewayError`] if an address cannot be used: then nothing has been started.
+    pub fn run(settings: GatewaySettings) -> Result<GatewayOutcome, GatewayError> {
+        let run: u64 = random();
+        let clock = ClockHandle::system();
+        let addresses = ListenAddresses {
+            front: settings.front,
+            ready: settings.ready,
+            metrics: settings.metrics,
+        };
+        let front = listen(addresses.front, "callers")?;
+        let ready = listen(addresses.ready, "readiness")?;
+        let listener = listen(addresses.metrics, "metrics")?;
+        let signals = [Signal::Term, Signal::Int, Signal::Hup];
+        let mut signals = Signals::new(signals).context(SignalsSnafu)?;
+        let metrics = GatewayMetrics::new();
+        let pipes = GatewayPipes::new();
+        let (done, is_done) = bounded::<()>(1);
+        let (stay, leaving) = bounded::<()>(1);
+        let started = EventLine::new("started").field("instance", &settings.name);
+        log::info!("{}", started.field("run", format!("{run:016x}")).field("front", addresses.front));
+        let grace = settings.grace;
+        let control = ControlThread {
+            settings: settings.clone(),
+            run,
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+            listener,
+            traffic: pipes.to_traffic.clone(),
+            digests: pipes.from_traffic.clone(),
+            leaving,
+        };
+        let control = start("kwg-control", move || control.run())?;
+        let traffic = TrafficThread {
+            settings,
+            run,
+            clock: clock.clone(),
+            metrics,
+            front,
+            ready,
+            inputs: pipes.from_control.clone(),
+            digests: pipes.to_control.clone(),
+            done,
+        };
+        start("kwg-traffic", move || traffic.run())?;
+        block_on(async {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Signal::Hup) => log::info!("event=reload result=nothing-to-reload"),
+                    Ok(_) => break,
+                    Err(error) => log::warn!("event=signal-failed error=\"{error}\""),
+                }
+            }
+        });
+        let tell = |input: TrafficInput| {
+            if pipes.to_traffic.try_send(input).is_err() {
+                log::debug!("event=traffic-gone");
+            }
+        };
+        tell(TrafficInput::Stop);
+        drop(stay);
+        let drained = block_on(async {
+            clock.sleep(IDLE_AFTER_STOP).await;
+            tell(TrafficInput::CloseIdle);
+            let ended = async {
+                // An error means that the traffic thread has let go of its end.
+                while is_done.recv().await.is_ok() {}
+                true
+            };
+            let late = async {
+                clock.sleep(grace.saturating_sub(IDLE_AFTER_STOP + GRACE_RESERVE)).await;
+                false
+            };
+            ended.or(late).await
+        });
+        log::info!("event=stopped drained={drained}");
+        if control.join().is_err() {
+            log::error!("event=thread-lost thread=kwg-control");
+        }
+        Ok(GatewayOutcome { drained })
+    }
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).context(ListenSnafu { purpose, address })
+}
+
+fn start(
+    name: &'static str,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<std::thread::JoinHandle<()>, GatewayError> {
+    Builder::new().name(name.to_owned()).spawn(run).context(ThreadSnafu { name })
+}
--- /dev/null
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -0,0 +1,128 @@
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+
+/// Bytes that are read at a time: a stream's event is far smaller, a prompt a little larger.
+const READ_BYTES: usize = 16 << 10;
+/// How long sent bytes may stay unacknowledged. A path that loses packets recovers within a
+/// second; one that is silent for longer is dead.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// A TCP connection and the bytes of it that have been read and not used.
+#[derive(Debug)]
+pub(crate) struct ByteSocket {
+    stream: Async<TcpStream>,
+    inbox: Vec<u8>,
+}
+
+/// The reading half.
+#[derive(Debug)]
+pub(crate) struct SocketReader<'a> {
+    stream: &'a Async<TcpStream>,
+    inbox: &'a mut Vec<u8>,
+}
+
+/// The writing half.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SocketWriter<'a>(&'a Async<TcpStream>);
+
+impl ByteSocket {
+    /// Connects within a time.
+    pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let timeout = async {
+            Timer::after(limit).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = Async::<TcpStream>::connect(address).or(timeout).await?;
+        Ok(Self::new(stream))
+    }
+
+    /// Takes an accepted connection.
+    pub(crate) fn new(stream: Async<TcpStream>) -> Self {
+        let limit = UNACKNOWLEDGED_LIMIT.as_millis() as u32;
+        if let Err(error) = stream.get_ref().set_nodelay(true) {
+            log::debug!("event=socket-option option=nodelay error={error}");
+        }
+        if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(stream.get_ref(), limit) {
+            log::debug!("event=socket-option option=user-timeout error={error}");
+        }
+        Self { stream, inbox: Vec::new() }
+    }
+
+    /// Both halves, to be used at once.
+    pub(crate) fn split(&mut self) -> (SocketReader<'_>, SocketWriter<'_>) {
+        let reader = SocketReader { stream: &self.stream, inbox: &mut self.inbox };
+        (reader, SocketWriter(&self.stream))
+    }
+
+    /// Whether the connection is open with nothing to read: an idle connection on which
+    /// anything has come, or which the other end has closed, must not be used.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let is_silent = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
+        self.inbox.is_empty() && self.stream.get_ref().peek(&mut byte).err().is_some_and(is_silent)
+    }
+}
+
+impl SocketReader<'_> {
+    /// What has been read and not used.
+    pub(crate) fn inbox(&self) -> &[u8] {
+        self.inbox
+    }
+
+    /// Drops used bytes.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.inbox.drain(..count);
+    }
+
+    /// Reads more; 0 is the end.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        let before = self.inbox.len();
+        self.inbox.resize(before + READ_BYTES, 0);
+        let mut guard = TruncateGuard { inbox: self.inbox, length: before };
+        let count = (&mut &*self.stream).read(&mut guard.inbox[before..]).await?;
+        guard.length += count;
+        Ok(count)
+    }
+
+    /// Waits until the other end has closed. More than `limit` bytes that come meanwhile are
+    /// left in the system.
+    pub(crate) async fn wait_closed(&mut self, limit: usize) {
+        while self.inbox.len() < limit {
+            if !matches!(self.fill().await, Ok(count) if count > 0) {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Cuts the buffer back to what was read, also if the read is given up.
+struct TruncateGuard<'a> {
+    inbox: &'a mut Vec<u8>,
+    length: usize,
+}
+
+impl Drop for TruncateGuard<'_> {
+    fn drop(&mut self) {
+        self.inbox.truncate(self.length);
+    }
+}
+
+impl SocketWriter<'_> {
+    /// Writes everything; returns how many bytes were handed to the system before an error.
+    pub(crate) async fn write(self, bytes: &[u8]) -> Result<(), (usize, io::Error)> {
+        let mut written = 0;
+        while written < bytes.len() {
+            match (&mut &*self.0).write(&bytes[written..]).await {
+                Ok(0) => return Err((written, io::ErrorKind::WriteZero.into())),
+                Ok(count) => written += count,
+                Err(error) => return Err((written, error)),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/kwg-gateway/src/socket/http_call.rs
@@ -0,0 +1,43 @@
+use std::io;
+
+use kwg_h1::{BodyDecoder, ReplyHead};
+
+use super::SocketReader;
+
+/// Longest body of the store that is read.
+const MAX_BODY: usize = 8 << 20;
+
+/// Reads a whole reply.
+pub(crate) async fn read_reply(reader: &mut SocketReader<'_>) -> io::Result<(ReplyHead, Vec<u8>)> {
+    let head = loop {
+        if let Some((head, used)) = ReplyHead::parse(reader.inbox()).map_err(invalid)? {
+            reader.consume(used);
+            break head;
+        }
+        if reader.fill().await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let (mut decoder, mut body) = (BodyDecoder::new(head.framing), Vec::new());
+    loop {
+        let used = decoder.decode(reader.inbox(), &mut body).map_err(invalid)?;
+        reader.consume(used);
+        if decoder.is_done() {
+            return Ok((head, body));
+        }
+        if body.len() > MAX_BODY {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        if reader.fill().await? == 0 {
+            return if decoder.may_end() {
+                Ok((head, body))
+            } else {
+                Err(io::ErrorKind::UnexpectedEof.into())
+            };
+        }
+    }
+}
+
+fn invalid(error: kwg_h1::HeadError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
--- /dev/null
+++ b/kwg-gateway/src/traffic/ready_server.rs
@@ -0,0 +1,79 @@
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::FutureExt;
+use kwg_adapter::CallerCodec;
+use kwg_h1::{HeadWriter, RequestHead};
+
+use super::traffic_hub::TrafficHub;
+use crate::socket::ByteSocket;
+
+/// Longest question.
+const MAX_HEAD: usize = 4 << 10;
+/// How long a connection may be idle between questions, which come every second.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Tells whether new connections should come here.
+#[derive(Debug)]
+pub(crate) struct ReadyServer {
+    pub(crate) hub: Rc<TrafficHub>,
+    pub(crate) listener: Async<TcpListener>,
+}
+
+impl ReadyServer {
+    /// Answers until the thread ends.
+    pub(crate) async fn run(self, executor: Rc<LocalExecutor<'static>>) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let hub = Rc::clone(&self.hub);
+                    executor.spawn(async move { answer(&hub, stream).await }).detach();
+                }
+                Err(error) => {
+                    log::warn!("event=accept-failed error=\"{error}\"");
+                    hub_pause(&self.hub).await;
+                }
+            }
+        }
+    }
+}
+
+async fn hub_pause(hub: &TrafficHub) {
+    hub.clock.sleep(Duration::from_millis(20)).await;
+}
+
+async fn answer(hub: &TrafficHub, stream: Async<TcpStream>) {
+    let mut socket = ByteSocket::new(stream);
+    let (mut reader, writer) = socket.split();
+    loop {
+        let head = match RequestHead::parse(reader.inbox(), MAX_HEAD) {
+            Ok(Some((head, used))) => {
+                reader.consume(used);
+                head
+            }
+            Ok(None) => {
+                let idle = async {
+                    hub.clock.sleep(IDLE_LIMIT).await;
+                    Ok(0)
+                };
+                match reader.fill().or(idle).await {
+                    Ok(count) if count > 0 => continue,
+                    _ => return,
+                }
+            }
+            Err(_) => return,
+        };
+        let status = match CallerCodec::is_ready_question(&head) {
+            true if hub.is_ready() => 200,
+            true => 503,
+            false => 404,
+        };
+        let reply = HeadWriter::reply(status).finish_with(b"");
+        if writer.write(&reply).await.is_err() || !head.keeps_alive {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -0,0 +1,111 @@
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use kwg_clock::ClockHandle;
+use kwg_gate::GateCore;
+use kwg_settings::GatewaySettings;
+
+use super::front_server::FrontServer;
+use super::ready_server::ReadyServer;
+use super::traffic_hub::TrafficHub;
+use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_pipes::{OwnDigest, TrafficInput};
+
+/// How often peers are told of this instance's work: a fraction of the time that a request holds
+/// a place.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Descriptors that are kept for targets, peers, the store and files.
+const RESERVED_DESCRIPTORS: u64 = 1_200;
+
+/// The thread that serves callers.
+#[derive(Debug)]
+pub(crate) struct TrafficThread {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) run: u64,
+    pub(crate) clock: ClockHandle,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) front: TcpListener,
+    pub(crate) ready: TcpListener,
+    pub(crate) inputs: Receiver<TrafficInput>,
+    pub(crate) digests: Sender<OwnDigest>,
+    /// Closed once the last request has been answered after a stop.
+    pub(crate) done: Sender<()>,
+}
+
+impl TrafficThread {
+    /// Serves until everything accepted before a stop has ended.
+    pub(crate) fn run(self) {
+        let core = GateCore::new(self.settings.gate.clone());
+        let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(32);
+        let max_body_bytes = usize::try_from(self.settings.memory_bytes / 4).unwrap_or(usize::MAX);
+        let max_connections = usize::try_from(descriptors).unwrap_or(usize::MAX);
+        let hub = TrafficHub::new(core, self.clock, self.metrics, max_connections, max_body_bytes);
+        let executor = Rc::new(LocalExecutor::new());
+        let (front, ready) = match (Async::new(self.front), Async::new(self.ready)) {
+            (Ok(front), Ok(ready)) => (front, ready),
+            (Err(error), _) | (_, Err(error)) => {
+                log::error!("event=listen-failed error=\"{error}\"");
+                return;
+            }
+        };
+        let server = FrontServer { hub: Rc::clone(&hub), listener: front };
+        executor.spawn(server.run(Rc::clone(&executor))).detach();
+        let server = ReadyServer { hub: Rc::clone(&hub), listener: ready };
+        executor.spawn(server.run(Rc::clone(&executor))).detach();
+        executor.spawn(tell_peers(Rc::clone(&hub), self.run, self.digests)).detach();
+        block_on(executor.run(follow(&hub, &self.inputs)));
+        drop(self.done);
+    }
+}
+
+/// Applies what the control thread says, until a stop is complete.
+async fn follow(hub: &Rc<TrafficHub>, inputs: &Receiver<TrafficInput>) {
+    while let Ok(input) = inputs.recv().await {
+        let now = hub.clock.now();
+        let mut core = hub.core.borrow_mut();
+        match input {
+            TrafficInput::Table(table, revision) => {
+                if core.set_table(&table, revision) {
+                    let version = table.version();
+                    log::info!("event=table-in-force version={version} revision={revision}");
+                }
+            }
+            TrafficInput::Registry(registry) => {
+                let gone = core.set_registry(&registry);
+                let mut pool = hub.pool.borrow_mut();
+                gone.into_iter().for_each(|target| pool.forget(target));
+            }
+            TrafficInput::Digest(peer, digest) => core.take_digest(&peer, &digest, now),
+            TrafficInput::Stop => {
+                hub.is_stopping.set(true);
+                log::info!("event=stopping open={}", hub.open_connections.get());
+            }
+            TrafficInput::CloseIdle => break,
+        }
+    }
+    hub.close_idle();
+    while hub.open_connections.get() > 0 {
+        hub.clock.sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Reports this instance's work, and forgets peers that are silent.
+async fn tell_peers(hub: Rc<TrafficHub>, run: u64, digests: Sender<OwnDigest>) {
+    loop {
+        hub.clock.sleep(DIGEST_INTERVAL).await;
+        let now = hub.clock.now();
+        hub.pool.borrow_mut().sweep(now);
+        let mut core = hub.core.borrow_mut();
+        for peer in core.drop_silent_peers(now) {
+            log::info!("event=peer-silent peer={peer}");
+        }
+        let digest = OwnDigest(core.digest(run));
+        if digests.try_send(digest).is_err() {
+            hub.metrics.note_dropped("digest");
+        }
+    }
+}
--- a/kwg-peer/src/tls_identity.rs
+++ b/kwg-peer/src/tls_identity.rs
@@ -9,7 +9,7 @@
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 
-use crate::LinkError;
+use crate::{IssuedKeys, LinkError};
 use crate::link_error::{BadFileSnafu, TlsSnafu};
 
 /// Names the protocol, so that only routers of one kind talk to each other.
@@ -45,15 +45,39 @@
     /// # Errors
     /// [`LinkError`] naming the file that is unusable.
     pub fn load(files: IdentityFiles<'_>) -> Result<Self, LinkError> {
+        let authority = read_certificate(files.authority)?;
+        let certificate = read_certificate(files.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(files.key);
+        let key = key.map_err(|error| bad_file(files.key, &error))?;
+        Self::new(authority, certificate, key)
+    }
+
+    /// Takes keys that were made in memory; `authority` is its certificate in PEM.
+    ///
+    /// # Errors
+    /// [`LinkError`] if they do not fit together.
+    pub fn from_issued(authority: &str, keys: &IssuedKeys) -> Result<Self, LinkError> {
+        let tls = |error: &dyn std::fmt::Display| TlsSnafu { reason: error.to_string() }.build();
+        let certificate = |pem: &str| CertificateDer::from_pem_slice(pem.as_bytes());
+        let key = PrivateKeyDer::from_pem_slice(keys.key.as_bytes());
+        Self::new(
+            certificate(authority).map_err(|error| tls(&error))?,
+            certificate(&keys.certificate).map_err(|error| tls(&error))?,
+            key.map_err(|error| tls(&error))?,
+        )
+    }
+
+    fn new(
+        authority: CertificateDer<'static>,
+        certificate: CertificateDer<'static>,
+        key: PrivateKeyDer<'static>,
+    ) -> Result<Self, LinkError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let tls = |error: &dyn std::fmt::Display| TlsSnafu { reason: error.to_string() }.build();
-        let authority = read_certificate(files.authority)?;
         let mut roots = RootCertStore::empty();
-        roots.add(authority).map_err(|error| bad_file(files.authority, &error))?;
+        roots.add(authority).map_err(|error| tls(&error))?;
         let roots = Arc::new(roots);
-        let chain = vec![read_certificate(files.certificate)?];
-        let key = PrivateKeyDer::from_pem_file(files.key);
-        let key = key.map_err(|error| bad_file(files.key, &error))?;
+        let chain = vec![certificate];
         let verifier =
             WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
                 .build()
--- a/kwg-router/src/inbound_sink.rs
+++ b/kwg-router/src/inbound_sink.rs
@@ -13,6 +13,7 @@
     fn deliver(&self, sender: InstanceName, body: PeerBody) {
         match body {
             PeerBody::Hello { .. } => {}
+            PeerBody::Gate(_) => self.note_fault("not-a-gateway"),
             PeerBody::Traffic { from, to, message } if from.instance == sender => {
                 self.0.to_core(&to, TrafficInput::Peer { from, message });
             }
--- /dev/null
+++ b/kwg-settings/src/gateway_settings.rs
@@ -0,0 +1,96 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use kwg_gate::{DomainMap, GateOptions, RetryBudgetOptions};
+use kwg_model::InstanceName;
+use log::LevelFilter;
+
+use crate::{CheckedIni, IniError};
+
+/// Everything that a gateway is told at its start.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// The instance's name.
+    pub name: InstanceName,
+    /// Where it listens for callers.
+    pub front: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it listens for metrics.
+    pub metrics: SocketAddr,
+    /// Where it meets other gateways, over UDP.
+    pub peer: SocketAddr,
+    /// Where the platform's store is.
+    pub store: SocketAddr,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
+    /// Open files and sockets that it may have.
+    pub descriptors: u64,
+    /// The decisions' options.
+    pub gate: GateOptions,
+    /// The least important log lines that are written.
+    pub log_level: LevelFilter,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// [`IniError`] with the line at fault.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, IniError> {
+        Self::from_ini(&CheckedIni::load(path)?)
+    }
+
+    /// Reads and checks the text of a file; `file` names it in errors.
+    ///
+    /// # Errors
+    /// [`IniError`] with the line at fault.
+    pub fn parse(file: &str, text: &str) -> Result<Self, IniError> {
+        Self::from_ini(&CheckedIni::parse(file, text)?)
+    }
+
+    fn from_ini(ini: &CheckedIni) -> Result<Self, IniError> {
+        let gateway = ini.section("gateway");
+        let own: String = gateway.value("domain", None)?;
+        let regions = ini.section("domains");
+        let names: Vec<String> = ini.keys("domains").map(str::to_owned).collect();
+        let regions: HashMap<String, String> = names
+            .into_iter()
+            .filter_map(|name| regions.raw(&name).map(|region| (name.clone(), region.to_owned())))
+            .collect();
+        if !regions.contains_key(&own) {
+            return Err(gateway.bad("domain", "is not listed in [domains]"));
+        }
+        let budget = ini.section("retry budget");
+        let retry = RetryBudgetOptions {
+            ratio: budget.value("ratio", Some(RetryBudgetOptions::default().ratio))?,
+            extra: budget.value("extra", Some(RetryBudgetOptions::default().extra))?,
+            window: budget.span("window_s", 1..=3_600, RetryBudgetOptions::default().window)?,
+        };
+        if !(0.0..=10.0).contains(&retry.ratio) {
+            return Err(budget.bad("ratio", "is not between 0 and 10"));
+        }
+        if !(0.0..=1e6).contains(&retry.extra) {
+            return Err(budget.bad("extra", "is not between 0 and 1000000"));
+        }
+        let settings = Self {
+            name: gateway.convert("name", None, |text| InstanceName::new(text))?,
+            front: gateway.value("front", None)?,
+            ready: gateway.value("ready", None)?,
+            metrics: gateway.value("metrics", None)?,
+            peer: gateway.value("peer", None)?,
+            store: gateway.value("store", None)?,
+            grace: gateway.span("grace_s", 1..=3_600, Duration::from_secs(8))?,
+            memory_bytes: gateway.number("memory_mb", 16..=1_000_000, Some(256))? << 20,
+            descriptors: gateway.number("descriptors", 64..=10_000_000, Some(1_024))?,
+            gate: GateOptions { domains: DomainMap { own, regions }, retry },
+            log_level: ini.section("log").value("level", Some(LevelFilter::Info))?,
+        };
+        ini.finish()?;
+        Ok(settings)
+    }
+}
--- a/kwg-settings/src/lib.rs
+++ b/kwg-settings/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod checked_ini;
+mod gateway_settings;
 mod ini_error;
 mod line_index;
 mod router_settings;
@@ -11,6 +12,7 @@
 mod table_files;
 
 pub use checked_ini::CheckedIni;
+pub use gateway_settings::GatewaySettings;
 pub use ini_error::IniError;
 pub use router_settings::{PeerFiles, PlatformAddresses, RouterSettings};
 pub use section_reader::SectionReader;
--- a/kwg-telemetry/src/log_sink.rs
+++ b/kwg-telemetry/src/log_sink.rs
@@ -15,6 +15,7 @@
 
 /// The error for logs that cannot be set up.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum LogError {
     /// The file cannot be opened.
     #[snafu(display("the log file {} cannot be opened", path.display()))]
@@ -24,6 +25,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The thread that writes cannot be started.
+    #[snafu(display("the log thread cannot be started"))]
+    Thread {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// Logs are set up already.
     #[snafu(display("logs are set up already"))]
     Twice {
--- a/kwg-wire/src/peer_frame.rs
+++ b/kwg-wire/src/peer_frame.rs
@@ -2,6 +2,8 @@
 use kwg_model::{HomeAddress, InstanceName};
 use serde::{Deserialize, Serialize};
 
+use crate::GateNotice;
+
 /// One message between two routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerFrame {
@@ -32,4 +34,6 @@
     },
     /// From control core to control core.
     Control(ControlMessage),
+    /// From gateway to gateway.
+    Gate(GateNotice),
 }
