--- a/knapweedglade/src/command_error.rs
+++ b/knapweedglade/src/command_error.rs
@@ -1,8 +1,8 @@
 use kwg_gateway::GatewayError;
 use kwg_peer::KeyError;
-use kwg_store::PlatformError;
 use kwg_router::RouterError;
 use kwg_settings::IniError;
+use kwg_store::PlatformError;
 use kwg_telemetry::{LogError, TimeLineError};
 use snafu::Snafu;
 
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -7,8 +7,9 @@
 use crate::target::VersionFilter;
 use crate::{
     AccountUsage, AttemptEvidence, AttemptSample, FinalWord, GateDigest, GateOptions, PeerBook,
-    PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts, RetryBudget, RouteMatch,
-    RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey, TargetRegistry,
+    PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts, RetryBudget,
+    RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey, TargetRegistry,
+    WaitingList,
 };
 
 /// When a caller that was refused for want of room should come back: bursts last seconds, and a
@@ -16,8 +17,8 @@
 const ROOM_RETRY: Duration = Duration::from_millis(700);
 /// When it should come back if its service has no target: one is started within seconds.
 const TARGET_RETRY: Duration = Duration::from_millis(500);
-/// Part of the remaining time that a prediction may fill; predictions miss by about as much.
-const PREDICTION_PART: f64 = 0.9;
+/// Every request may wait for so long, even if it will be late: places become free all the time.
+const SHORTEST_HOLD: Duration = Duration::from_millis(60);
 
 /// The state behind all decisions of one traffic thread.
 #[derive(Debug, Clone)]
@@ -31,6 +32,17 @@
     budget: RetryBudget,
     suspects: SuspectBook,
     peers: PeerBook,
+    waiting: WaitingList,
+}
+
+/// What becomes of an admitted request.
+pub(crate) enum PlaceStep {
+    /// It goes there.
+    Send(Placement),
+    /// It waits for room, at most until then.
+    Hold(MonoTime),
+    /// It is refused.
+    Refuse(FinalWord),
 }
 
 impl GateCore {
@@ -40,13 +52,14 @@
         Self {
             targets: TargetBook::new(options.domains.clone()),
             budget: RetryBudget::new(options.retry),
-            options,
             table: None,
             orders_revision: 0,
             registry: Arc::default(),
-            quotas: QuotaBook::default(),
+            quotas: QuotaBook::new(options.quota),
             suspects: SuspectBook::default(),
             peers: PeerBook::default(),
+            waiting: WaitingList::default(),
+            options,
         }
     }
 
@@ -92,6 +105,7 @@
     /// Takes what a peer reports.
     pub fn take_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
         self.peers.note_heard(peer, now);
+        self.peers.note_waiting(peer, &digest.waiting);
         self.targets.take_digest(peer, digest, now);
         for usage in &digest.accounts {
             self.quotas.take_usage(peer, digest.run, &usage.label, usage.used, now);
@@ -111,8 +125,12 @@
     /// What this instance tells its peers.
     #[must_use]
     pub fn digest(&self, run: u64) -> GateDigest {
-        let usage = |(label, used): (&crate::AccountLabel, u64)| {
-            AccountUsage { label: label.clone(), used }
+        let usage = |(label, used): (&crate::AccountLabel, u64)| AccountUsage {
+            label: label.clone(),
+            used,
+        };
+        let count = |(service, count): (&crate::ServiceName, usize)| {
+            (service.clone(), u16::try_from(count).unwrap_or(u16::MAX))
         };
         GateDigest {
             run,
@@ -121,6 +139,7 @@
             store_answers: true,
             accounts: self.quotas.used().map(usage).collect(),
             targets: self.targets.reports(),
+            waiting: self.waiting.counts().map(count).collect(),
             suspects: self.suspects.counts().collect(),
         }
     }
@@ -177,28 +196,55 @@
         plan: &RoutePlan,
         draw: f64,
         now: MonoTime,
-    ) -> Result<Placement, FinalWord> {
-        if now >= plan.due {
-            self.settle(plan, FinalWord::refused(RefusalReason::TimedOut));
-            return Err(FinalWord::refused(RefusalReason::TimedOut));
-        }
+    ) -> PlaceStep {
         let query = PlaceQuery {
             service: plan.service.as_str(),
             prompt_tokens: facts.tokens.map_or(0, |tokens| tokens.prompt),
             on_engine: plan.on_engine,
             target_latency: plan.target_latency,
             gap_target: plan.gap_target,
+            contenders: self.peers.contenders(plan.service.as_str()),
             tried: &plan.tried,
             version: VersionFilter::Any,
         };
-        let left = plan.due.since(now).mul_f64(PREDICTION_PART);
         let word = match self.targets.place(&query, now, draw) {
-            Some(placement) if placement.expected < left => return Ok(placement),
-            Some(_) => FinalWord::refused_until(RefusalReason::Overloaded, ROOM_RETRY),
-            None => FinalWord::refused_until(RefusalReason::NoTarget, TARGET_RETRY),
+            _ if now >= plan.due => FinalWord::refused(RefusalReason::TimedOut),
+            PlaceDecision::Send(placement) => return PlaceStep::Send(placement),
+            PlaceDecision::NoTarget => {
+                FinalWord::refused_until(RefusalReason::NoTarget, TARGET_RETRY)
+            }
+            PlaceDecision::Full => {
+                let until = self.hold_until(facts, plan, &query);
+                if now < until {
+                    return PlaceStep::Hold(until);
+                }
+                FinalWord::refused_until(RefusalReason::Overloaded, ROOM_RETRY)
+            }
         };
         self.settle(plan, word);
-        Err(word)
+        PlaceStep::Refuse(word)
+    }
+
+    /// How long a request may wait for room: as long as it can still be on time.
+    fn hold_until(
+        &self,
+        facts: &RequestFacts,
+        plan: &RoutePlan,
+        query: &PlaceQuery<'_>,
+    ) -> MonoTime {
+        let latest = plan.target_latency.saturating_sub(self.targets.best_expected(query));
+        (facts.arrived + latest.max(SHORTEST_HOLD)).min(plan.due)
+    }
+
+    /// Requests that wait for room.
+    #[must_use]
+    pub fn waiting(&self) -> &WaitingList {
+        &self.waiting
+    }
+
+    /// Requests that wait for room, to enter and leave.
+    pub fn waiting_mut(&mut self) -> &mut WaitingList {
+        &mut self.waiting
     }
 
     pub(crate) fn allow_repeat(
--- a/kwg-gate/src/gate_options.rs
+++ b/kwg-gate/src/gate_options.rs
@@ -1,4 +1,4 @@
-use crate::{DomainMap, RetryBudgetOptions};
+use crate::{DomainMap, QuotaOptions, RetryBudgetOptions};
 
 /// What a gateway is told at its start.
 #[derive(Debug, Clone, Default)]
@@ -7,4 +7,6 @@
     pub domains: DomainMap,
     /// What all instances together may spend on repeats.
     pub retry: RetryBudgetOptions,
+    /// How far quotas may be exceeded by all instances together.
+    pub quota: QuotaOptions,
 }
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -18,19 +18,21 @@
 
 pub use gate_core::GateCore;
 pub use gate_options::GateOptions;
-pub use limit::{QuotaBook, RetryBudget, RetryBudgetOptions, SuspectBook};
+pub use limit::{
+    QuotaBook, QuotaOptions, RetryBudget, RetryBudgetOptions, SuspectBook, WaitTicket, WaitingList,
+};
 pub use peer::{AccountUsage, GateDigest, PeerBook, TargetReport};
 pub use registry::{DomainMap, LoadDistance, TargetEntry, TargetRegistry};
 pub use session::{
     Admitted, AttemptEvidence, AttemptRight, AttemptVerdict, Dispatched, FinalWord, GateSession,
-    OpenAttempt, Placed, Received, RefusalReason, RequestFacts, SessionStep, TokenCount,
-    UnknownReason,
+    OpenAttempt, PlaceOutcome, Placed, Received, RefusalReason, RequestFacts, SessionStep,
+    TokenCount, UnknownReason,
 };
 pub use table::{
     AccountRule, CallerLimits, EngineRule, QuotaRule, RequestKind, RouteMatch, RoutePool,
     RouteRule, RouteTable, ServiceRule,
 };
 pub use target::{
-    AttemptSample, PlaceQuery, Placement, TargetBook, TargetKey, VersionFilter,
+    AttemptSample, PlaceDecision, PlaceQuery, Placement, TargetBook, TargetKey, VersionFilter,
 };
 pub use text_key::{AccountLabel, ServiceName, TargetId};
--- a/kwg-gate/src/limit/mod.rs
+++ b/kwg-gate/src/limit/mod.rs
@@ -3,7 +3,9 @@
 mod quota_book;
 mod retry_budget;
 mod suspect_book;
+mod waiting_list;
 
-pub use quota_book::QuotaBook;
+pub use quota_book::{QuotaBook, QuotaOptions};
 pub use retry_budget::{RetryBudget, RetryBudgetOptions};
 pub use suspect_book::SuspectBook;
+pub use waiting_list::{WaitTicket, WaitingList};
--- a/kwg-gate/src/limit/quota_book.rs
+++ b/kwg-gate/src/limit/quota_book.rs
@@ -10,15 +10,44 @@
 /// Time after which a silent peer is taken to be serving nobody.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
+/// Part of the tolerance that is given to callers; the rest covers what instances admit before
+/// they know of each other.
+const GIVEN_PART: f64 = 0.5;
+/// Part of a bucket that a new instance finds: what was used before its start is not known.
+const FIRST_FILL: f64 = 0.5;
+
+/// How far the sum over all instances may exceed a quota.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QuotaOptions {
+    /// As a part of the quota.
+    pub overshoot: f64,
+    /// In units.
+    pub slack: f64,
+}
+
+impl QuotaOptions {
+    /// The quota that an instance keeps to.
+    fn widen(self, rule: &QuotaRule) -> QuotaRule {
+        let factor = 1.0 + GIVEN_PART * self.overshoot;
+        QuotaRule {
+            rate_per_s: rule.rate_per_s * factor,
+            burst: rule.burst * factor + GIVEN_PART * self.slack,
+            ..*rule
+        }
+    }
+}
+
 /// Token buckets of the client accounts, filled at each instance with what all have used.
 #[derive(Debug, Clone, Default)]
 pub struct QuotaBook {
+    options: QuotaOptions,
     buckets: HashMap<AccountLabel, AccountBucket>,
 }
 
 #[derive(Debug, Clone)]
 struct AccountBucket {
-    level: f64,
+    /// What it holds; it is filled at its first use here.
+    level: Option<f64>,
     refilled: MonoTime,
     own_used: u64,
     peers: HashMap<String, PeerUsage>,
@@ -35,6 +64,12 @@
 }
 
 impl QuotaBook {
+    /// A book that nobody has used.
+    #[must_use]
+    pub fn new(options: QuotaOptions) -> Self {
+        Self { options, buckets: HashMap::new() }
+    }
+
     /// Takes `units` for a request, or says how long to wait.
     ///
     /// # Errors
@@ -46,13 +81,15 @@
         units: u64,
         now: MonoTime,
     ) -> Result<(), Duration> {
-        let bucket = self.buckets.entry(label.clone()).or_insert_with(|| AccountBucket::full(rule, now));
+        let rule = &self.options.widen(rule);
+        let bucket = self.buckets.entry(label.clone()).or_insert_with(|| AccountBucket::new(now));
         bucket.refill(rule, now);
-        if bucket.level <= 0.0 {
-            let wait = (units as f64 - bucket.level) / rule.rate_per_s.max(1.0);
+        let level = bucket.level.unwrap_or(0.0);
+        if level <= 0.0 {
+            let wait = (units as f64 - level) / rule.rate_per_s.max(1.0);
             return Err(Duration::from_secs_f64(wait.clamp(0.05, 5.0)));
         }
-        bucket.level -= units as f64;
+        bucket.level = Some(level - units as f64);
         bucket.own_used += units;
         Ok(())
     }
@@ -60,16 +97,23 @@
     /// Gives back what a request took that did not run.
     pub fn give_back(&mut self, label: &AccountLabel, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(label) {
-            bucket.level += units as f64;
+            bucket.level = bucket.level.map(|level| level + units as f64);
             bucket.own_used = bucket.own_used.saturating_sub(units);
         }
     }
 
     /// Takes the count of a peer, which only grows within a run of it.
-    pub fn take_usage(&mut self, peer: &str, run: u64, label: &AccountLabel, used: u64, now: MonoTime) {
+    pub fn take_usage(
+        &mut self,
+        peer: &str,
+        run: u64,
+        label: &AccountLabel,
+        used: u64,
+        now: MonoTime,
+    ) {
         let Some(bucket) = self.buckets.get_mut(label) else {
             let usage = PeerUsage { run, used, rate_per_s: 0.0, reported: now, charged: now };
-            let mut bucket = AccountBucket::unopened(now);
+            let mut bucket = AccountBucket::new(now);
             bucket.peers.insert(peer.to_owned(), usage);
             self.buckets.insert(label.clone(), bucket);
             return;
@@ -78,7 +122,7 @@
         let news = used.saturating_sub(before.map_or(0, |before| before.used));
         let span = before.map_or(1.0, |before| now.since(before.reported).as_secs_f64());
         let rate_per_s = news as f64 / span.max(0.1);
-        bucket.level -= news as f64;
+        bucket.level = bucket.level.map(|level| level - news as f64);
         let usage = PeerUsage { run, used, rate_per_s, reported: now, charged: now };
         bucket.peers.insert(peer.to_owned(), usage);
     }
@@ -90,26 +134,22 @@
 }
 
 impl AccountBucket {
-    fn full(rule: &QuotaRule, now: MonoTime) -> Self {
-        Self { level: rule.burst, refilled: now, own_used: 0, peers: HashMap::new() }
-    }
-
-    /// A bucket that only peers have taken from; it is filled at its first use here.
-    fn unopened(now: MonoTime) -> Self {
-        Self { level: f64::INFINITY, refilled: now, own_used: 0, peers: HashMap::new() }
+    fn new(now: MonoTime) -> Self {
+        Self { level: None, refilled: now, own_used: 0, peers: HashMap::new() }
     }
 
     fn refill(&mut self, rule: &QuotaRule, now: MonoTime) {
         let span = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
+        let mut level = self.level.unwrap_or(rule.burst * FIRST_FILL);
         // A peer that is out of touch goes on serving: what it takes is estimated.
         for usage in self.peers.values_mut() {
             let age = now.since(usage.reported);
             if age > STALE_AFTER && age < FORGET_AFTER {
-                self.level -= usage.rate_per_s * now.since(usage.charged).as_secs_f64();
+                level -= usage.rate_per_s * now.since(usage.charged).as_secs_f64();
                 usage.charged = now;
             }
         }
-        self.level = (self.level + rule.rate_per_s * span).min(rule.burst);
+        self.level = Some((level + rule.rate_per_s * span).min(rule.burst));
     }
 }
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountLabel, TargetId};
+use crate::{AccountLabel, ServiceName, TargetId};
 
 /// What an instance tells its peers, several times a second. Every count only grows within a
 /// run, so a lost digest costs nothing but time.
@@ -18,6 +18,8 @@
     pub accounts: Vec<AccountUsage>,
     /// What it knows of targets.
     pub targets: Vec<(TargetId, TargetReport)>,
+    /// Requests that wait there for room, by service.
+    pub waiting: Vec<(ServiceName, u16)>,
     /// Requests whose runs were cut off there, and how often.
     pub suspects: Vec<(u64, u32)>,
 }
--- a/kwg-gate/src/peer/peer_book.rs
+++ b/kwg-gate/src/peer/peer_book.rs
@@ -3,6 +3,8 @@
 
 use kwg_model::MonoTime;
 
+use crate::ServiceName;
+
 /// Silence after which a peer's load no longer counts: its requests have ended or been cut.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -10,6 +12,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct PeerBook {
     heard: HashMap<String, MonoTime>,
+    waiting: HashMap<String, Vec<(ServiceName, u16)>>,
     most: u32,
 }
 
@@ -25,13 +28,33 @@
         self.most = self.most.max(u32::try_from(self.heard.len()).unwrap_or(u32::MAX));
     }
 
+    /// Notes how many requests wait for room at a peer.
+    pub fn note_waiting(&mut self, peer: &str, waiting: &[(ServiceName, u16)]) {
+        self.waiting.insert(peer.to_owned(), waiting.to_vec());
+    }
+
+    /// How many peers have requests that wait for room at a service.
+    #[must_use]
+    pub fn contenders(&self, service: &str) -> u32 {
+        let waits = |waiting: &Vec<(ServiceName, u16)>| {
+            waiting.iter().any(|(name, count)| name.as_str() == service && *count > 0)
+        };
+        u32::try_from(self.waiting.values().filter(|waiting| waits(waiting)).count())
+            .unwrap_or(u32::MAX)
+    }
+
     /// Removes and returns the peers that have fallen silent.
     pub fn take_silent(&mut self, now: MonoTime) -> Vec<String> {
         let is_silent = |at: &MonoTime| now.since(*at) > SILENT_AFTER;
-        let silent: Vec<String> =
-            self.heard.iter().filter(|(_, at)| is_silent(at)).map(|(peer, _)| peer.clone()).collect();
+        let silent: Vec<String> = self
+            .heard
+            .iter()
+            .filter(|(_, at)| is_silent(at))
+            .map(|(peer, _)| peer.clone())
+            .collect();
         silent.iter().for_each(|peer| {
             self.heard.remove(peer);
+            self.waiting.remove(peer);
         });
         silent
     }
--- a/kwg-gate/src/registry/target_registry.rs
+++ b/kwg-gate/src/registry/target_registry.rs
@@ -43,7 +43,13 @@
     }
 
     /// Applies one change; `None` removes the entry. Older revisions change nothing.
-    pub fn apply(&mut self, revision: u64, id: &TargetId, entry: Option<TargetEntry>, now: MonoTime) {
+    pub fn apply(
+        &mut self,
+        revision: u64,
+        id: &TargetId,
+        entry: Option<TargetEntry>,
+        now: MonoTime,
+    ) {
         match entry {
             Some(entry) => {
                 self.lapsed.remove(id);
@@ -55,7 +61,12 @@
     }
 
     /// Takes a full reading; entries that it lacks are gone.
-    pub fn replace(&mut self, revision: u64, entries: impl IntoIterator<Item = TargetEntry>, now: MonoTime) {
+    pub fn replace(
+        &mut self,
+        revision: u64,
+        entries: impl IntoIterator<Item = TargetEntry>,
+        now: MonoTime,
+    ) {
         let mut missing: Vec<TargetId> = self.entries.keys().cloned().collect();
         for entry in entries {
             missing.retain(|id| *id != entry.id);
@@ -68,8 +79,12 @@
 
     /// Forgets lapsed entries whose grace is over; returns them.
     pub fn expire(&mut self, now: MonoTime) -> Vec<TargetId> {
-        let due: Vec<TargetId> =
-            self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        let due: Vec<TargetId> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in &due {
             self.lapsed.remove(id);
             self.entries.remove(id);
--- a/kwg-gate/src/session/final_word.rs
+++ b/kwg-gate/src/session/final_word.rs
@@ -37,6 +37,8 @@
     Suspect,
     /// Its time ran out before it was sent.
     TimedOut,
+    /// The instance is stopping.
+    Stopping,
 }
 
 /// Why it is not known whether a request ran.
@@ -90,6 +92,7 @@
             Self::Declined => "declined",
             Self::Suspect => "suspect",
             Self::TimedOut => "timed-out",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -3,9 +3,10 @@
 use kwg_model::MonoTime;
 
 use super::RoutePlan;
+use crate::gate_core::PlaceStep;
 use crate::{
-    AccountLabel, AttemptEvidence, AttemptRight, AttemptSample, AttemptVerdict, FinalWord, GateCore,
-    OpenAttempt, Placement, RequestFacts, RequestKind, ServiceName, TargetKey,
+    AccountLabel, AttemptEvidence, AttemptRight, AttemptSample, AttemptVerdict, FinalWord,
+    GateCore, OpenAttempt, Placement, RequestFacts, RequestKind, ServiceName, TargetKey,
 };
 
 /// A request on its way through the filters.
@@ -51,6 +52,17 @@
     Ended(FinalWord),
 }
 
+/// What becomes of an admitted request.
+#[derive(Debug)]
+pub enum PlaceOutcome {
+    /// It has a target.
+    Placed(GateSession<Placed>),
+    /// It waits for room, at most until then.
+    Waiting(GateSession<Admitted>, MonoTime),
+    /// It is refused, and has not run.
+    Refused(FinalWord),
+}
+
 impl<S> GateSession<S> {
     /// What is known of the request.
     #[must_use]
@@ -84,18 +96,16 @@
 
 impl GateSession<Admitted> {
     /// Chooses a target.
-    ///
-    /// # Errors
-    /// The refusal if none will do; the request has not run.
-    pub fn place(
-        self,
-        core: &mut GateCore,
-        draw: f64,
-        now: MonoTime,
-    ) -> Result<GateSession<Placed>, FinalWord> {
-        let Admitted { plan, right } = self.state;
-        let placement = core.place(&self.facts, &plan, draw, now)?;
-        Ok(GateSession { facts: self.facts, state: Placed { plan, right, placement } })
+    pub fn place(self, core: &mut GateCore, draw: f64, now: MonoTime) -> PlaceOutcome {
+        match core.place(&self.facts, &self.state.plan, draw, now) {
+            PlaceStep::Send(placement) => {
+                let Admitted { plan, right } = self.state;
+                let state = Placed { plan, right, placement };
+                PlaceOutcome::Placed(GateSession { facts: self.facts, state })
+            }
+            PlaceStep::Hold(until) => PlaceOutcome::Waiting(self, until),
+            PlaceStep::Refuse(word) => PlaceOutcome::Refused(word),
+        }
     }
 }
 
@@ -117,18 +127,25 @@
     }
 
     /// Ends the attempt with what is known of it, and says what may follow.
-    pub fn close(self, core: &mut GateCore, evidence: AttemptEvidence, now: MonoTime) -> SessionStep {
+    pub fn close(
+        self,
+        core: &mut GateCore,
+        evidence: AttemptEvidence,
+        now: MonoTime,
+    ) -> SessionStep {
         let Dispatched { mut plan, open, placement } = self.state;
         core.note_attempt_end(&self.facts, &plan, placement.target, evidence, now);
         match open.close(evidence) {
-            AttemptVerdict::Again(right) => match core.allow_repeat(&self.facts, &plan, evidence, now) {
-                Ok(()) => {
-                    plan.tried.push(placement.target);
-                    let state = Admitted { plan, right };
-                    SessionStep::Again(GateSession { facts: self.facts, state })
+            AttemptVerdict::Again(right) => {
+                match core.allow_repeat(&self.facts, &plan, evidence, now) {
+                    Ok(()) => {
+                        plan.tried.push(placement.target);
+                        let state = Admitted { plan, right };
+                        SessionStep::Again(GateSession { facts: self.facts, state })
+                    }
+                    Err(word) => SessionStep::Ended(word),
                 }
-                Err(word) => SessionStep::Ended(word),
-            },
+            }
             AttemptVerdict::Final(word) => {
                 core.settle(&plan, word);
                 SessionStep::Ended(core.with_return_time(word))
--- a/kwg-gate/src/session/mod.rs
+++ b/kwg-gate/src/session/mod.rs
@@ -8,6 +8,8 @@
 
 pub use attempt_right::{AttemptEvidence, AttemptRight, AttemptVerdict, OpenAttempt};
 pub use final_word::{FinalWord, RefusalReason, UnknownReason};
-pub use gate_session::{Admitted, Dispatched, GateSession, Placed, Received, SessionStep};
+pub use gate_session::{
+    Admitted, Dispatched, GateSession, PlaceOutcome, Placed, Received, SessionStep,
+};
 pub use request_facts::{RequestFacts, TokenCount};
 pub(crate) use route_plan::RoutePlan;
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -6,6 +6,6 @@
 mod target_health;
 mod target_state;
 
-pub use placement::{PlaceQuery, Placement, VersionFilter};
+pub use placement::{PlaceDecision, PlaceQuery, Placement, VersionFilter};
 pub use target_book::{TargetBook, TargetKey};
 pub use target_state::AttemptSample;
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -34,6 +34,8 @@
     pub target_latency: Duration,
     /// Longest pause between events with which a stream is on time.
     pub gap_target: Option<Duration>,
+    /// Other instances that look for room at the same targets.
+    pub contenders: u32,
     /// Targets that have been tried.
     pub tried: &'a [TargetKey],
     /// The only version that may get it, or the one that must not.
@@ -64,6 +66,17 @@
     pub load_age: Duration,
 }
 
+/// What becomes of a request that looks for a target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PlaceDecision {
+    /// It goes there.
+    Send(Placement),
+    /// Every target is full.
+    Full,
+    /// There is no target that it could go to.
+    NoTarget,
+}
+
 impl VersionFilter<'_> {
     pub(crate) fn admits(self, version: &str) -> bool {
         match self {
@@ -74,11 +87,9 @@
     }
 }
 
-/// When the first event, or the answer, of a request may be expected, in milliseconds.
-pub(crate) fn expected_ms(state: &TargetState, query: &PlaceQuery<'_>, distance: LoadDistance) -> f64 {
-    let slots = f64::from(state.entry.slots.max(1));
-    let excess = (f64::from(state.load()) - slots + 1.0).max(0.0);
-    let queue_ms = excess / slots * state.hold_ms();
+/// When the first event, or the answer, may be expected at a target with a free place, in
+/// milliseconds.
+pub(crate) fn work_ms(state: &TargetState, query: &PlaceQuery<'_>, distance: LoadDistance) -> f64 {
     let work_ms = match query.on_engine {
         true => {
             let tokens = query.prompt_tokens + state.waiting_tokens();
@@ -86,7 +97,7 @@
         }
         false => state.hold_ms(),
     };
-    distance.round_trip().as_secs_f64() * 1e3 + queue_ms + work_ms
+    distance.round_trip().as_secs_f64() * 1e3 + work_ms
 }
 
 /// The cost of sending a request to a target, as a share of its worth.
@@ -97,12 +108,12 @@
     now: MonoTime,
 ) -> (f64, f64) {
     let distance = domains.distance(&state.entry.domain);
-    let expected = expected_ms(state, query, distance);
+    let expected = work_ms(state, query, distance);
     let aim = query.target_latency.as_secs_f64() * 1e3;
     let lateness = (expected / aim.max(1.0)).min(LATENESS_LIMIT);
-    let gap = query.gap_target.map_or(0.0, |gap_target| {
-        (state.gap_ms() / (gap_target.as_secs_f64() * 1e3)).min(1.5)
-    });
+    let gap = query
+        .gap_target
+        .map_or(0.0, |gap_target| (state.gap_ms() / (gap_target.as_secs_f64() * 1e3)).min(1.5));
     let crossing = match distance {
         LoadDistance::Domain => 0.0,
         LoadDistance::Region => REGION_COST,
--- a/kwg-gate/src/target/target_book.rs
+++ b/kwg-gate/src/target/target_book.rs
@@ -7,10 +7,20 @@
 use super::placement;
 use super::target_state::TargetState;
 use crate::{
-    AttemptSample, DomainMap, GateDigest, PlaceQuery, Placement, TargetEntry, TargetId,
-    TargetRegistry, TargetReport,
+    AttemptSample, DomainMap, GateDigest, PlaceDecision, PlaceQuery, Placement, TargetEntry,
+    TargetId, TargetRegistry, TargetReport,
 };
 
+/// Draws that follow from one, so that a decision stays a function of its inputs.
+struct DrawSequence(f64);
+
+impl DrawSequence {
+    fn next(&mut self) -> f64 {
+        self.0 = (self.0 * 9_301.0 + 0.497_1).fract();
+        self.0
+    }
+}
+
 new_key_type! {
     /// A target in the book.
     pub struct TargetKey;
@@ -66,22 +76,41 @@
         self.targets.get(key).map(|state| &state.entry)
     }
 
-    /// Chooses the target at the lowest cost; `None` if none may be used.
+    /// Chooses the target at the lowest cost among those with room.
     #[must_use]
-    pub fn place(&self, query: &PlaceQuery<'_>, now: MonoTime, draw: f64) -> Option<Placement> {
+    pub fn place(&self, query: &PlaceQuery<'_>, now: MonoTime, draw: f64) -> PlaceDecision {
         let fits = |state: &TargetState| {
             state.entry.service.as_str() == query.service
                 && !state.entry.is_draining
                 && query.version.admits(&state.entry.version)
         };
-        let candidates = || self.targets.iter().filter(|(_, state)| fits(state));
-        let open = candidates()
-            .filter(|(key, state)| !query.tried.contains(key) && state.health.is_open(now));
+        let untried =
+            |(key, state): &(TargetKey, &TargetState)| fits(state) && !query.tried.contains(key);
+        let candidates = || self.targets.iter().filter(untried);
+        let mut draws = DrawSequence(draw);
+        let is_open = |state: &TargetState| state.health.is_open(now);
+        let has_any = candidates().any(|(_, state)| is_open(state));
         // With every target paused, the least bad one is still better than a refusal.
-        self.cheapest(open, query, now, draw).or_else(|| {
-            let untried = candidates().filter(|(key, _)| !query.tried.contains(key));
-            self.cheapest(untried, query, now, draw)
-        })
+        let open = candidates().filter(|(_, state)| !has_any || is_open(state));
+        let roomy: Vec<_> =
+            open.filter(|(_, state)| state.has_room(query.contenders, draws.next())).collect();
+        match self.cheapest(roomy.into_iter(), query, now, draw) {
+            Some(placement) => PlaceDecision::Send(placement),
+            None if candidates().next().is_none() => PlaceDecision::NoTarget,
+            None => PlaceDecision::Full,
+        }
+    }
+
+    /// When the first event, or the answer, could be expected at best if a place were free.
+    #[must_use]
+    pub fn best_expected(&self, query: &PlaceQuery<'_>) -> Duration {
+        let states = self.targets.values().filter(|state| {
+            state.entry.service.as_str() == query.service && !state.entry.is_draining
+        });
+        let expected = states.map(|state| {
+            placement::work_ms(state, query, self.domains.distance(&state.entry.domain))
+        });
+        Duration::from_secs_f64(expected.fold(f64::INFINITY, f64::min).min(1e6) / 1e3)
     }
 
     fn cheapest<'a>(
@@ -113,9 +142,10 @@
     /// Whether a service has free places by the best estimate, and how many targets it has.
     #[must_use]
     pub fn free_places(&self, service: &str) -> (u32, u32) {
-        let targets = self.targets.values().filter(|state| {
-            state.entry.service.as_str() == service && !state.entry.is_draining
-        });
+        let targets = self
+            .targets
+            .values()
+            .filter(|state| state.entry.service.as_str() == service && !state.entry.is_draining);
         targets.fold((0, 0), |(free, count), state| {
             (free + state.entry.slots.saturating_sub(state.load()), count + 1)
         })
@@ -125,6 +155,7 @@
     pub fn begin(&mut self, key: TargetKey, prompt_tokens: u64) {
         if let Some(state) = self.targets.get_mut(key) {
             state.running += 1;
+            state.left_places = state.left_places.saturating_sub(1);
             state.unread_tokens += prompt_tokens;
             state.health.note_sent();
         }
@@ -141,6 +172,7 @@
     pub fn end(&mut self, key: TargetKey) {
         if let Some(state) = self.targets.get_mut(key) {
             state.running = state.running.saturating_sub(1);
+            state.left_places += 1;
             state.health.note_no_answer();
         }
     }
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -23,6 +23,8 @@
     pub(crate) running: u32,
     pub(crate) unread_tokens: u64,
     pub(crate) idle_connections: u32,
+    /// Places that requests of this instance have just left; peers cannot know of them yet.
+    pub(crate) left_places: u32,
     pub(crate) good: u32,
     pub(crate) bad: u32,
     step_ms: LearnedMean,
@@ -52,6 +54,7 @@
             running: 0,
             unread_tokens: 0,
             idle_connections: 0,
+            left_places: 0,
             good: 0,
             bad: 0,
             step_ms: LearnedMean::default(),
@@ -63,7 +66,15 @@
 
     /// Requests that run there, from all instances.
     pub(crate) fn load(&self) -> u32 {
-        self.running + self.reports.values().map(|(_, report)| u32::from(report.running)).sum::<u32>()
+        self.running
+            + self.reports.values().map(|(_, report)| u32::from(report.running)).sum::<u32>()
+    }
+
+    /// Whether one more request may go there: a place is free, and it is likely that no peer
+    /// takes the same one.
+    pub(crate) fn has_room(&self, contenders: u32, draw: f64) -> bool {
+        let free = self.entry.slots.saturating_sub(self.load());
+        free > 0 && (self.left_places > 0 || draw < f64::from(free) / (f64::from(contenders) + 1.0))
     }
 
     /// The age of the oldest report that counts towards the load.
@@ -105,6 +116,7 @@
 
     /// Takes a peer's report. Its counts of answers only grow, so the difference is news.
     pub(crate) fn take_report(&mut self, peer: &str, report: TargetReport, now: MonoTime) {
+        self.left_places = 0;
         if let Some((_, before)) = self.reports.insert(peer.to_owned(), (now, report)) {
             let good = report.good.saturating_sub(before.good);
             let bad = report.bad.saturating_sub(before.bad);
--- a/kwg-gateway/src/control/control_hub.rs
+++ b/kwg-gateway/src/control/control_hub.rs
@@ -85,7 +85,8 @@
             SharedTable::Targets => {
                 let now = self.clock.now();
                 for row in &news {
-                    let entry = row.value.as_deref().and_then(|value| decode_entry(&row.key, value));
+                    let entry =
+                        row.value.as_deref().and_then(|value| decode_entry(&row.key, value));
                     let id = TargetId::new(&row.key);
                     log_target(&id, entry.as_ref(), row.revision);
                     self.registry.borrow_mut().apply(row.revision, &id, entry, now);
@@ -153,7 +154,8 @@
     }
 
     fn take_order(&self, row: &StoreRow) {
-        let Some(value) = row.value.as_deref().filter(|_| ConfigDecoder::is_config(&row.key)) else {
+        let Some(value) = row.value.as_deref().filter(|_| ConfigDecoder::is_config(&row.key))
+        else {
             return;
         };
         match ConfigDecoder::decode(value) {
--- a/kwg-gateway/src/control/instance_desk.rs
+++ b/kwg-gateway/src/control/instance_desk.rs
@@ -53,7 +53,8 @@
     /// Removes this instance's row. Others notice a missing instance anyway.
     pub(crate) async fn leave(&mut self) {
         let key = self.own_key();
-        let write = StoreWrite { table: StoreTable::Instances, key: &key, value: None, expected: None };
+        let write =
+            StoreWrite { table: StoreTable::Instances, key: &key, value: None, expected: None };
         if let Err(reason) = self.write(&write).await {
             log::info!("event=leave-failed reason=\"{reason}\"");
         }
--- a/kwg-gateway/src/control/peer_desk.rs
+++ b/kwg-gateway/src/control/peer_desk.rs
@@ -82,7 +82,11 @@
     }
 
     /// Joins the fleet, then passes digests and tables on for ever.
-    pub(crate) async fn run(mut self, executor: Arc<Executor<'static>>, digests: Receiver<OwnDigest>) {
+    pub(crate) async fn run(
+        mut self,
+        executor: Arc<Executor<'static>>,
+        digests: Receiver<OwnDigest>,
+    ) {
         let fleet = InstanceDesk::new(&self.hub).join().await;
         let (arrivals, arriving) = unbounded();
         let own = self.hub.settings.name.clone();
@@ -122,8 +126,11 @@
         log::info!("event=joined peers={}", self.addresses.len());
         self.command(LinkCommand::Addresses(self.addresses.clone()));
         loop {
-            let arrival = async { arriving.recv().await.map(|(from, notice)| DeskEvent::Arrival(from, notice)) };
-            let digest = async { digests.recv().await.map(|OwnDigest(digest)| DeskEvent::Digest(digest)) };
+            let arrival = async {
+                arriving.recv().await.map(|(from, notice)| DeskEvent::Arrival(from, notice))
+            };
+            let digest =
+                async { digests.recv().await.map(|OwnDigest(digest)| DeskEvent::Digest(digest)) };
             match futures_lite::future::or(arrival, digest).await {
                 Ok(DeskEvent::Arrival(from, notice)) => self.take(from, notice),
                 Ok(DeskEvent::Digest(digest)) => self.tell(digest),
@@ -214,6 +221,7 @@
 }
 
 fn copy_of(table: SharedTable, mirror: &TableMirror) -> GateNotice {
-    let rows = mirror.rows().map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()));
+    let rows =
+        mirror.rows().map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()));
     GateNotice::Copy { table, revision: mirror.revision(), rows: rows.collect() }
 }
--- a/kwg-gateway/src/control/store_link.rs
+++ b/kwg-gateway/src/control/store_link.rs
@@ -25,7 +25,11 @@
 
     /// Makes a call; returns the status and the body. After an error it is not known whether
     /// the call was done, and the connection is given up.
-    pub(crate) async fn call(&mut self, request: &[u8], limit: Duration) -> io::Result<(u16, Vec<u8>)> {
+    pub(crate) async fn call(
+        &mut self,
+        request: &[u8],
+        limit: Duration,
+    ) -> io::Result<(u16, Vec<u8>)> {
         let kept = self.socket.take().filter(ByteSocket::is_quiet);
         let mut socket = match kept {
             Some(socket) => socket,
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -62,7 +62,10 @@
                     continue;
                 }
                 Err(FeedFault::Store(StoreError::HistoryGone)) => {
-                    log::info!("event=history-gone table={}", super::control_hub::table_name(self.table));
+                    log::info!(
+                        "event=history-gone table={}",
+                        super::control_hub::table_name(self.table)
+                    );
                     needs_reading = true;
                     continue;
                 }
@@ -86,9 +89,12 @@
             let request = StoreCodec::encode_read(store_table(self.table), &from);
             let reading = self.call(&request, CALL_LIMIT).await?;
             let last = reading.rows.last().map(|row| row.key.clone());
-            rows.extend(reading.rows.into_iter().filter_map(|row| {
-                row.value.map(|value| (row.key, row.revision, value))
-            }));
+            rows.extend(
+                reading
+                    .rows
+                    .into_iter()
+                    .filter_map(|row| row.value.map(|value| (row.key, row.revision, value))),
+            );
             match last.filter(|_| reading.has_more) {
                 // The smallest key behind the last one.
                 Some(last) => from = format!("{last}\0"),
--- a/kwg-gateway/src/control/table_mirror.rs
+++ b/kwg-gateway/src/control/table_mirror.rs
@@ -45,11 +45,16 @@
     }
 
     /// Takes a full reading, unless a later one is there. Returns whether it was taken.
-    pub(crate) fn replace(&mut self, rows: impl IntoIterator<Item = (String, u64, Vec<u8>)>, revision: u64) -> bool {
+    pub(crate) fn replace(
+        &mut self,
+        rows: impl IntoIterator<Item = (String, u64, Vec<u8>)>,
+        revision: u64,
+    ) -> bool {
         if self.is_filled && revision <= self.revision {
             return false;
         }
-        self.rows = rows.into_iter().map(|(key, revision, value)| (key, (revision, value))).collect();
+        self.rows =
+            rows.into_iter().map(|(key, revision, value)| (key, (revision, value))).collect();
         self.revision = revision;
         self.is_filled = true;
         true
--- a/kwg-gateway/src/gateway_process.rs
+++ b/kwg-gateway/src/gateway_process.rs
@@ -19,9 +19,9 @@
 use crate::gateway_pipes::{GatewayPipes, ListenAddresses, TrafficInput};
 use crate::traffic::TrafficThread;
 
-/// How long callers' idle connections stay open after a stop: requests that are on their way
-/// still come, and a balancer needs two misses, a second apart, to look elsewhere.
-const IDLE_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// How long callers are still taken after a stop: a balancer needs two misses, a second apart,
+/// to look elsewhere, and what is taken later might not end within the grace.
+const IDLE_AFTER_STOP: Duration = Duration::from_millis(2_800);
 /// Time kept free before the process would be killed.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
 
@@ -59,7 +59,10 @@
         let (done, is_done) = bounded::<()>(1);
         let (stay, leaving) = bounded::<()>(1);
         let started = EventLine::new("started").field("instance", &settings.name);
-        log::info!("{}", started.field("run", format!("{run:016x}")).field("front", addresses.front));
+        log::info!(
+            "{}",
+            started.field("run", format!("{run:016x}")).field("front", addresses.front)
+        );
         let grace = settings.grace;
         let control = ControlThread {
             settings: settings.clone(),
--- a/kwg-gateway/src/traffic/answer_relay.rs
+++ b/kwg-gateway/src/traffic/answer_relay.rs
@@ -39,7 +39,11 @@
     }
 
     /// Passes on a whole answer.
-    pub(crate) async fn send_whole(&mut self, head: &ReplyHead, body: &[u8]) -> Result<(), CallerLost> {
+    pub(crate) async fn send_whole(
+        &mut self,
+        head: &ReplyHead,
+        body: &[u8],
+    ) -> Result<(), CallerLost> {
         let mut bytes = CallerCodec::encode_answer_head(head, Some(body.len()), self.keeps_alive);
         bytes.extend_from_slice(body);
         self.has_begun = true;
@@ -48,7 +52,11 @@
 
     /// Passes on the whole events among new bytes of a stream, behind its head at first. The
     /// head of a second run is dropped: the stream goes on under the first one.
-    pub(crate) async fn send_events(&mut self, head: &ReplyHead, bytes: &[u8]) -> Result<bool, CallerLost> {
+    pub(crate) async fn send_events(
+        &mut self,
+        head: &ReplyHead,
+        bytes: &[u8],
+    ) -> Result<bool, CallerLost> {
         let events = self.splitter.push(bytes);
         if events.is_empty() {
             return Ok(false);
@@ -82,7 +90,11 @@
     }
 
     /// Says a final word, if nothing has been said yet.
-    pub(crate) async fn send_word(&mut self, word: FinalWord, request_id: &str) -> Result<(), CallerLost> {
+    pub(crate) async fn send_word(
+        &mut self,
+        word: FinalWord,
+        request_id: &str,
+    ) -> Result<(), CallerLost> {
         if self.has_begun {
             return Err(CallerLost);
         }
--- a/kwg-gateway/src/traffic/attempt_guard.rs
+++ b/kwg-gateway/src/traffic/attempt_guard.rs
@@ -4,6 +4,7 @@
 use kwg_gate::TargetKey;
 
 use super::traffic_hub::TrafficHub;
+use super::waiting_room::WaitingRoom;
 
 /// Counts an attempt as load of its target for as long as it lives.
 #[derive(Debug)]
@@ -31,6 +32,13 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.note_read();
-        self.hub.core.borrow_mut().targets_mut().end(self.target);
+        let service = {
+            let mut core = self.hub.core.borrow_mut();
+            core.targets_mut().end(self.target);
+            core.targets().entry(self.target).map(|entry| entry.service.clone())
+        };
+        if let Some(service) = service {
+            WaitingRoom::call(&self.hub, &service, 1);
+        }
     }
 }
--- a/kwg-gateway/src/traffic/connection_pool.rs
+++ b/kwg-gateway/src/traffic/connection_pool.rs
@@ -31,7 +31,12 @@
 
 impl ConnectionPool {
     /// Takes a connection that is fit for use. Those that are not are closed.
-    pub(crate) fn take(&mut self, target: TargetKey, is_repeatable: bool, now: MonoTime) -> Option<ByteSocket> {
+    pub(crate) fn take(
+        &mut self,
+        target: TargetKey,
+        is_repeatable: bool,
+        now: MonoTime,
+    ) -> Option<ByteSocket> {
         let idle = self.idle.get_mut(&target)?;
         while let Some(connection) = idle.pop() {
             let age = now.since(connection.since);
--- a/kwg-gateway/src/traffic/front_connection.rs
+++ b/kwg-gateway/src/traffic/front_connection.rs
@@ -1,10 +1,11 @@
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Async;
 use futures_lite::FutureExt;
 use kwg_adapter::{CallerCodec, CallerFault};
-use kwg_gate::RequestFacts;
+use kwg_gate::{FinalWord, RefusalReason, RequestFacts};
 use kwg_h1::{BodyDecoder, RequestHead};
 use kwg_model::MonoTime;
 
@@ -16,6 +17,9 @@
 /// Bytes that a caller may send ahead while its request is being answered.
 const READ_AHEAD: usize = 32 << 10;
 
+/// When a caller that comes to a stopping instance should try again: at once, elsewhere.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// A caller's connection, which carries one request after another.
 #[derive(Debug)]
 pub(crate) struct FrontConnection {
@@ -87,6 +91,15 @@
         };
         let keeps_alive = head.keeps_alive && !self.hub.is_stopping.get();
         let mut relay = AnswerRelay::new(writer, keeps_alive);
+        if self.hub.is_closed.get() {
+            let word = FinalWord::refused_until(RefusalReason::Stopping, STOPPING_RETRY);
+            self.hub.metrics.note_end(word.as_str());
+            log::info!("event=request-ended id={} outcome={}", facts.id, word.as_str());
+            if relay.send_word(word, &facts.id).await.is_err() {
+                log::debug!("event=caller-lost");
+            }
+            return false;
+        }
         let pipeline = RequestPipeline { hub: &self.hub, head: &head, body: &body.bytes };
         let id = facts.id.clone();
         let departure = async {
@@ -113,7 +126,9 @@
             self.hub.idle_closed().await;
             false
         };
-        let first = async { !reader.inbox().is_empty() || matches!(reader.fill().await, Ok(count) if count > 0) };
+        let first = async {
+            !reader.inbox().is_empty() || matches!(reader.fill().await, Ok(count) if count > 0)
+        };
         if !first.or(idle).or(stopped).await {
             return NextRequest::Closed;
         }
@@ -150,7 +165,8 @@
     ) -> Result<BodyPermit, NextRequest> {
         let mut decoder = BodyDecoder::new(head.framing);
         let mut permit = BodyPermit { hub: Rc::clone(&self.hub), bytes: Vec::new() };
-        if matches!(head.framing, kwg_h1::BodyFraming::Length(length) if length > max_bytes as u64) {
+        if matches!(head.framing, kwg_h1::BodyFraming::Length(length) if length > max_bytes as u64)
+        {
             return Err(NextRequest::Faulty(CallerFault::BodyTooLarge));
         }
         loop {
@@ -180,7 +196,10 @@
     }
 }
 
-async fn read_head(reader: &mut SocketReader<'_>, max_bytes: usize) -> Result<RequestHead, NextRequest> {
+async fn read_head(
+    reader: &mut SocketReader<'_>,
+    max_bytes: usize,
+) -> Result<RequestHead, NextRequest> {
     loop {
         match RequestHead::parse(reader.inbox(), max_bytes) {
             Ok(Some((head, used))) => {
--- a/kwg-gateway/src/traffic/mod.rs
+++ b/kwg-gateway/src/traffic/mod.rs
@@ -12,5 +12,6 @@
 mod target_attempt;
 mod traffic_hub;
 mod traffic_thread;
+mod waiting_room;
 
 pub(crate) use traffic_thread::TrafficThread;
--- a/kwg-gateway/src/traffic/request_pipeline.rs
+++ b/kwg-gateway/src/traffic/request_pipeline.rs
@@ -2,7 +2,8 @@
 use std::rc::Rc;
 
 use kwg_gate::{
-    AttemptEvidence, Dispatched, FinalWord, GateSession, Received, RequestFacts, SessionStep,
+    Admitted, AttemptEvidence, Dispatched, FinalWord, GateSession, PlaceOutcome, Placed, Received,
+    RequestFacts, SessionStep,
 };
 use kwg_h1::{ReplyHead, RequestHead};
 use kwg_telemetry::EventLine;
@@ -12,6 +13,7 @@
 use super::attempt_report::AttemptReport;
 use super::target_attempt::TargetAttempt;
 use super::traffic_hub::TrafficHub;
+use super::waiting_room::WaitingRoom;
 
 /// Takes one request through all filters.
 #[derive(Debug)]
@@ -32,7 +34,11 @@
 
 impl RequestPipeline<'_> {
     /// Answers the request.
-    pub(crate) async fn run(self, mut facts: RequestFacts, relay: &mut AnswerRelay<'_>) -> PipelineEnd {
+    pub(crate) async fn run(
+        self,
+        mut facts: RequestFacts,
+        relay: &mut AnswerRelay<'_>,
+    ) -> PipelineEnd {
         facts.fingerprint = fingerprint(&facts, self.body);
         let now = self.hub.clock.now();
         let session = GateSession::<Received>::new(facts.clone());
@@ -46,9 +52,7 @@
         // The reply of a target that failed, to be passed on if nothing better comes.
         let mut failure: Option<(ReplyHead, Vec<u8>)> = None;
         loop {
-            let now = self.hub.clock.now();
-            let placed = session.place(&mut self.hub.core.borrow_mut(), random(), now);
-            let dispatched = match placed {
+            let dispatched = match self.find_place(session).await {
                 Ok(placed) => placed.dispatch(),
                 Err(word) => return self.give_up(word, &facts, failure, relay).await,
             };
@@ -81,7 +85,29 @@
             let step = dispatched.close(&mut self.hub.core.borrow_mut(), evidence, now);
             match step {
                 SessionStep::Again(again) => session = again,
-                SessionStep::Ended(word) => return self.give_up(word, &facts, failure, relay).await,
+                SessionStep::Ended(word) => {
+                    return self.give_up(word, &facts, failure, relay).await;
+                }
+            }
+        }
+    }
+
+    /// Waits for a target with room, as long as that makes sense.
+    async fn find_place(
+        &self,
+        session: GateSession<Admitted>,
+    ) -> Result<GateSession<Placed>, FinalWord> {
+        let mut session = session;
+        loop {
+            let now = self.hub.clock.now();
+            let placed = session.place(&mut self.hub.core.borrow_mut(), random(), now);
+            match placed {
+                PlaceOutcome::Placed(placed) => return Ok(placed),
+                PlaceOutcome::Refused(word) => return Err(word),
+                PlaceOutcome::Waiting(waiting, until) => {
+                    WaitingRoom::wait(self.hub, &waiting, until).await;
+                    session = waiting;
+                }
             }
         }
     }
@@ -106,7 +132,12 @@
         }
     }
 
-    async fn say(&self, word: FinalWord, facts: &RequestFacts, relay: &mut AnswerRelay<'_>) -> PipelineEnd {
+    async fn say(
+        &self,
+        word: FinalWord,
+        facts: &RequestFacts,
+        relay: &mut AnswerRelay<'_>,
+    ) -> PipelineEnd {
         let version = self.hub.core.borrow().table().map(|table| table.version());
         let line = EventLine::new("request-ended")
             .field("id", &facts.id)
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -221,7 +221,8 @@
     ) -> Result<Vec<u8>, AttemptEvidence> {
         let (mut decoder, mut body) = (BodyDecoder::new(head.framing), Vec::new());
         loop {
-            let used = decoder.decode(reader.inbox(), &mut body).map_err(|_| AttemptEvidence::Cut)?;
+            let used =
+                decoder.decode(reader.inbox(), &mut body).map_err(|_| AttemptEvidence::Cut)?;
             reader.consume(used);
             if decoder.is_done() {
                 return Ok(body);
--- a/kwg-gateway/src/traffic/traffic_hub.rs
+++ b/kwg-gateway/src/traffic/traffic_hub.rs
@@ -6,6 +6,7 @@
 use kwg_gate::{CallerLimits, GateCore};
 
 use super::connection_pool::ConnectionPool;
+use super::waiting_room::WaitingRoom;
 use crate::gateway_metrics::GatewayMetrics;
 
 /// What the tasks of the traffic thread share. Borrows end before anything is awaited.
@@ -13,9 +14,11 @@
 pub(crate) struct TrafficHub {
     pub(crate) core: RefCell<GateCore>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    pub(crate) waiting_room: WaitingRoom,
     pub(crate) clock: ClockHandle,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) is_stopping: Cell<bool>,
+    pub(crate) is_closed: Cell<bool>,
     pub(crate) open_connections: Cell<usize>,
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) max_connections: usize,
@@ -36,9 +39,11 @@
         Rc::new(Self {
             core: RefCell::new(core),
             pool: RefCell::default(),
+            waiting_room: WaitingRoom::default(),
             clock,
             metrics,
             is_stopping: Cell::new(false),
+            is_closed: Cell::new(false),
             open_connections: Cell::new(0),
             body_bytes: Cell::new(0),
             max_connections,
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -6,12 +6,13 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, block_on};
 use kwg_clock::ClockHandle;
-use kwg_gate::GateCore;
+use kwg_gate::{GateCore, ServiceName};
 use kwg_settings::GatewaySettings;
 
 use super::front_server::FrontServer;
 use super::ready_server::ReadyServer;
 use super::traffic_hub::TrafficHub;
+use super::waiting_room::WaitingRoom;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_pipes::{OwnDigest, TrafficInput};
 
@@ -21,6 +22,9 @@
 /// Descriptors that are kept for targets, peers, the store and files.
 const RESERVED_DESCRIPTORS: u64 = 1_200;
 
+/// How often a stop looks whether the last connection has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
 /// The thread that serves callers.
 #[derive(Debug)]
 pub(crate) struct TrafficThread {
@@ -53,16 +57,24 @@
             }
         };
         let server = FrontServer { hub: Rc::clone(&hub), listener: front };
-        executor.spawn(server.run(Rc::clone(&executor))).detach();
+        let accepting = executor.spawn(server.run(Rc::clone(&executor)));
         let server = ReadyServer { hub: Rc::clone(&hub), listener: ready };
         executor.spawn(server.run(Rc::clone(&executor))).detach();
         executor.spawn(tell_peers(Rc::clone(&hub), self.run, self.digests)).detach();
-        block_on(executor.run(follow(&hub, &self.inputs)));
+        block_on(executor.run(async {
+            follow(&hub, &self.inputs).await;
+            // Callers that still come are refused by the system, and look elsewhere at once.
+            accepting.cancel().await;
+            hub.close_idle();
+            while hub.open_connections.get() > 0 {
+                hub.clock.sleep(DRAIN_CHECK).await;
+            }
+        }));
         drop(self.done);
     }
 }
 
-/// Applies what the control thread says, until a stop is complete.
+/// Applies what the control thread says, until no more callers are to be taken.
 async fn follow(hub: &Rc<TrafficHub>, inputs: &Receiver<TrafficInput>) {
     while let Ok(input) = inputs.recv().await {
         let now = hub.clock.now();
@@ -79,18 +91,36 @@
                 let mut pool = hub.pool.borrow_mut();
                 gone.into_iter().for_each(|target| pool.forget(target));
             }
-            TrafficInput::Digest(peer, digest) => core.take_digest(&peer, &digest, now),
+            TrafficInput::Digest(peer, digest) => {
+                core.take_digest(&peer, &digest, now);
+                drop(core);
+                call_waiting(hub);
+            }
             TrafficInput::Stop => {
                 hub.is_stopping.set(true);
                 log::info!("event=stopping open={}", hub.open_connections.get());
             }
-            TrafficInput::CloseIdle => break,
+            TrafficInput::CloseIdle => {
+                hub.is_closed.set(true);
+                break;
+            }
         }
     }
-    hub.close_idle();
-    while hub.open_connections.get() > 0 {
-        hub.clock.sleep(Duration::from_millis(50)).await;
-    }
+}
+
+/// Lets as many waiting requests try as there may be free places.
+fn call_waiting(hub: &TrafficHub) {
+    let free: Vec<(ServiceName, u32)> = {
+        let core = hub.core.borrow();
+        let waiting = core.waiting().counts().filter(|(_, count)| *count > 0);
+        waiting
+            .map(|(service, count)| {
+                let (free, _) = core.targets().free_places(service.as_str());
+                (service.clone(), free.min(u32::try_from(count).unwrap_or(u32::MAX)))
+            })
+            .collect()
+    };
+    free.iter().for_each(|(service, count)| WaitingRoom::call(hub, service, *count));
 }
 
 /// Reports this instance's work, and forgets peers that are silent.
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -9,7 +9,8 @@
 
 #[test]
 fn ambiguous_lengths_are_refused() {
-    let both = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let both =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
     let two = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n";
     let signed = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\n";
     let list = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\n";
--- a/kwg-peer/src/tls_identity.rs
+++ b/kwg-peer/src/tls_identity.rs
@@ -9,8 +9,8 @@
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 
-use crate::{IssuedKeys, LinkError};
 use crate::link_error::{BadFileSnafu, TlsSnafu};
+use crate::{IssuedKeys, LinkError};
 
 /// Names the protocol, so that only routers of one kind talk to each other.
 const PROTOCOL: &[u8] = b"knapweedglade/1";
--- a/kwg-settings/src/checked_ini.rs
+++ b/kwg-settings/src/checked_ini.rs
@@ -66,7 +66,11 @@
 
     /// The keys of a section, in the order of the file.
     pub fn keys<'a>(&'a self, section: &str) -> impl Iterator<Item = &'a str> {
-        self.ini.section(Some(section)).into_iter().flat_map(|found| found.iter()).map(|(key, _)| key)
+        self.ini
+            .section(Some(section))
+            .into_iter()
+            .flat_map(|found| found.iter())
+            .map(|(key, _)| key)
     }
 
     /// Checks that everything in the file was asked for.
--- a/kwg-settings/src/gateway_settings.rs
+++ b/kwg-settings/src/gateway_settings.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use kwg_gate::{DomainMap, GateOptions, RetryBudgetOptions};
+use kwg_gate::{DomainMap, GateOptions, QuotaOptions, RetryBudgetOptions};
 use kwg_model::InstanceName;
 use log::LevelFilter;
 
@@ -77,6 +77,17 @@
         if !(0.0..=1e6).contains(&retry.extra) {
             return Err(budget.bad("extra", "is not between 0 and 1000000"));
         }
+        let quota = ini.section("quota");
+        let tolerance = QuotaOptions {
+            overshoot: quota.value("overshoot", Some(0.0))?,
+            slack: quota.value("slack", Some(0.0))?,
+        };
+        if !(0.0..=10.0).contains(&tolerance.overshoot) {
+            return Err(quota.bad("overshoot", "is not between 0 and 10"));
+        }
+        if !(0.0..=1e12).contains(&tolerance.slack) {
+            return Err(quota.bad("slack", "is not between 0 and 1000000000000"));
+        }
         let settings = Self {
             name: gateway.convert("name", None, |text| InstanceName::new(text))?,
             front: gateway.value("front", None)?,
@@ -87,7 +98,7 @@
             grace: gateway.span("grace_s", 1..=3_600, Duration::from_secs(8))?,
             memory_bytes: gateway.number("memory_mb", 16..=1_000_000, Some(256))? << 20,
             descriptors: gateway.number("descriptors", 64..=10_000_000, Some(1_024))?,
-            gate: GateOptions { domains: DomainMap { own, regions }, retry },
+            gate: GateOptions { domains: DomainMap { own, regions }, retry, quota: tolerance },
             log_level: ini.section("log").value("level", Some(LevelFilter::Info))?,
         };
         ini.finish()?;
--- a/kwg-store/tests/support/mod.rs
+++ b/kwg-store/tests/support/mod.rs
@@ -11,8 +11,8 @@
 use http_types::Method;
 use kwg_clock::ClockHandle;
 use kwg_http::CallClient;
-use kwg_store::{ConfigStore, KeyStore, TableClient};
 use kwg_standin::PlatformStandin;
+use kwg_store::{ConfigStore, KeyStore, TableClient};
 
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
