--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -12,7 +12,7 @@
 /// A request on its way through the filters.
 #[derive(Debug)]
 pub struct GateSession<S> {
-    facts: RequestFacts,
+    facts: Box<RequestFacts>,
     state: S,
 }
 
@@ -23,14 +23,14 @@
 /// Allowed by tables and limits.
 #[derive(Debug)]
 pub struct Admitted {
-    plan: RoutePlan,
+    plan: Box<RoutePlan>,
     right: AttemptRight,
 }
 
 /// Meant for a target.
 #[derive(Debug)]
 pub struct Placed {
-    plan: RoutePlan,
+    plan: Box<RoutePlan>,
     right: AttemptRight,
     placement: Placement,
 }
@@ -38,7 +38,7 @@
 /// Sent to a target, which may be running it.
 #[derive(Debug)]
 pub struct Dispatched {
-    plan: RoutePlan,
+    plan: Box<RoutePlan>,
     open: OpenAttempt,
     placement: Placement,
 }
@@ -75,7 +75,7 @@
     /// A request that has been read.
     #[must_use]
     pub fn new(facts: RequestFacts) -> Self {
-        Self { facts, state: Received }
+        Self { facts: Box::new(facts), state: Received }
     }
 
     /// Applies tables, keys and quotas.
@@ -90,7 +90,7 @@
     ) -> Result<GateSession<Admitted>, FinalWord> {
         let (plan, max_attempts) = core.admit(&self.facts, draw, now)?;
         let right = AttemptRight::new(plan.kind, max_attempts);
-        Ok(GateSession { facts: self.facts, state: Admitted { plan, right } })
+        Ok(GateSession { facts: self.facts, state: Admitted { plan: Box::new(plan), right } })
     }
 }
 
--- a/kwg-gateway/src/traffic/front_connection.rs
+++ b/kwg-gateway/src/traffic/front_connection.rs
@@ -26,9 +26,15 @@
     hub: Rc<TrafficHub>,
 }
 
-/// A request that has been read, or the reason why there is none.
-enum NextRequest {
-    Whole(RequestHead, RequestFacts, BodyPermit),
+/// A request that has been read.
+struct IncomingRequest {
+    head: RequestHead,
+    facts: RequestFacts,
+    body: BodyPermit,
+}
+
+/// Why there is no request.
+enum ReadEnd {
     Faulty(CallerFault),
     Closed,
 }
@@ -79,15 +85,15 @@
     async fn serve_one(&self, socket: &mut ByteSocket) -> bool {
         let (mut reader, writer) = socket.split();
         let (head, facts, body) = match self.read_request(&mut reader, writer).await {
-            NextRequest::Whole(head, facts, body) => (head, facts, body),
-            NextRequest::Faulty(fault) => {
+            Ok(IncomingRequest { head, facts, body }) => (head, facts, body),
+            Err(ReadEnd::Faulty(fault)) => {
                 log::info!("event=request-refused reason={fault:?}");
                 if let Err((_, error)) = writer.write(&CallerCodec::encode_fault(fault)).await {
                     log::debug!("event=caller-lost error={error}");
                 }
                 return false;
             }
-            NextRequest::Closed => return false,
+            Err(ReadEnd::Closed) => return false,
         };
         let keeps_alive = head.keeps_alive && !self.hub.is_stopping.get();
         let mut relay = AnswerRelay::new(writer, keeps_alive);
@@ -116,7 +122,7 @@
         &self,
         reader: &mut SocketReader<'_>,
         writer: crate::socket::SocketWriter<'_>,
-    ) -> NextRequest {
+    ) -> Result<IncomingRequest, ReadEnd> {
         let limits = self.hub.limits();
         let idle = async {
             self.hub.clock.sleep(limits.idle_timeout).await;
@@ -130,30 +136,22 @@
             !reader.inbox().is_empty() || matches!(reader.fill().await, Ok(count) if count > 0)
         };
         if !first.or(idle).or(stopped).await {
-            return NextRequest::Closed;
+            return Err(ReadEnd::Closed);
         }
         let arrived = self.hub.clock.now();
         let slow = async {
             self.hub.clock.sleep_until(arrived + limits.head_timeout).await;
-            Err(NextRequest::Faulty(CallerFault::TooSlow))
-        };
-        let head = match read_head(reader, limits.head_bytes).or(slow).await {
-            Ok(head) => head,
-            Err(end) => return end,
-        };
-        let facts = match CallerCodec::decode(&head, arrived) {
-            Ok(facts) => facts,
-            Err(fault) => return NextRequest::Faulty(fault),
+            Err(ReadEnd::Faulty(CallerFault::TooSlow))
         };
+        let head = read_head(reader, limits.head_bytes).or(slow).await?;
+        let facts = CallerCodec::decode(&head, arrived).map_err(ReadEnd::Faulty)?;
         if head.headers.has_token("expect", "100-continue")
             && writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
         {
-            return NextRequest::Closed;
-        }
-        match self.read_body(reader, &head, facts.deadline, limits.body_bytes).await {
-            Ok(body) => NextRequest::Whole(head, facts, body),
-            Err(end) => end,
+            return Err(ReadEnd::Closed);
         }
+        let body = self.read_body(reader, &head, facts.deadline, limits.body_bytes).await?;
+        Ok(IncomingRequest { head, facts, body })
     }
 
     async fn read_body(
@@ -162,35 +160,35 @@
         head: &RequestHead,
         deadline: MonoTime,
         max_bytes: usize,
-    ) -> Result<BodyPermit, NextRequest> {
+    ) -> Result<BodyPermit, ReadEnd> {
         let mut decoder = BodyDecoder::new(head.framing);
         let mut permit = BodyPermit { hub: Rc::clone(&self.hub), bytes: Vec::new() };
         if matches!(head.framing, kwg_h1::BodyFraming::Length(length) if length > max_bytes as u64)
         {
-            return Err(NextRequest::Faulty(CallerFault::BodyTooLarge));
+            return Err(ReadEnd::Faulty(CallerFault::BodyTooLarge));
         }
         loop {
             let before = permit.bytes.len();
             let decoded = decoder.decode(reader.inbox(), &mut permit.bytes);
             self.hub.body_bytes.set(self.hub.body_bytes.get() + permit.bytes.len() - before);
-            let used = decoded.map_err(|_| NextRequest::Faulty(CallerFault::Malformed))?;
+            let used = decoded.map_err(|_| ReadEnd::Faulty(CallerFault::Malformed))?;
             reader.consume(used);
             if permit.bytes.len() > max_bytes {
-                return Err(NextRequest::Faulty(CallerFault::BodyTooLarge));
+                return Err(ReadEnd::Faulty(CallerFault::BodyTooLarge));
             }
             if self.hub.body_bytes.get() > self.hub.max_body_bytes {
-                return Err(NextRequest::Faulty(CallerFault::NoRoom));
+                return Err(ReadEnd::Faulty(CallerFault::NoRoom));
             }
             if decoder.is_done() {
                 return Ok(permit);
             }
             let late = async {
                 self.hub.clock.sleep_until(deadline).await;
-                Err(NextRequest::Faulty(CallerFault::TooSlow))
+                Err(ReadEnd::Faulty(CallerFault::TooSlow))
             };
-            let fill = async { reader.fill().await.map_err(|_| NextRequest::Closed) };
+            let fill = async { reader.fill().await.map_err(|_| ReadEnd::Closed) };
             if fill.or(late).await? == 0 {
-                return Err(NextRequest::Closed);
+                return Err(ReadEnd::Closed);
             }
         }
     }
@@ -199,7 +197,7 @@
 async fn read_head(
     reader: &mut SocketReader<'_>,
     max_bytes: usize,
-) -> Result<RequestHead, NextRequest> {
+) -> Result<RequestHead, ReadEnd> {
     loop {
         match RequestHead::parse(reader.inbox(), max_bytes) {
             Ok(Some((head, used))) => {
@@ -208,9 +206,9 @@
             }
             Ok(None) => match reader.fill().await {
                 Ok(count) if count > 0 => {}
-                _ => return Err(NextRequest::Closed),
+                _ => return Err(ReadEnd::Closed),
             },
-            Err(error) => return Err(NextRequest::Faulty(error.into())),
+            Err(error) => return Err(ReadEnd::Faulty(error.into())),
         }
     }
 }
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -67,7 +67,7 @@
         let mut cuts = cuts.into_iter().cycle();
         for byte in wire {
             buffer.push(byte);
-            if cuts.next().unwrap_or(0) % 3 != 0 {
+            if !cuts.next().unwrap_or(0).is_multiple_of(3) {
                 let used = decoder.decode(&buffer, &mut body).expect("valid");
                 buffer.drain(..used);
             }
