--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -6,10 +6,10 @@
 use crate::session::RoutePlan;
 use crate::target::VersionFilter;
 use crate::{
-    AccountUsage, AttemptEvidence, AttemptSample, FinalWord, GateDigest, GateOptions, PeerBook,
-    PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts, RetryBudget,
-    RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey, TargetRegistry,
-    WaitingList,
+    AccountUsage, AttemptEvidence, AttemptRight, AttemptSample, FinalWord, GateDigest, GateOptions,
+    PeerBook, PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts,
+    RetryBudget, RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey,
+    TargetRegistry, UnknownReason, WaitingList,
 };
 
 /// When a caller that was refused for want of room should come back: bursts last seconds, and a
@@ -194,6 +194,7 @@
         &mut self,
         facts: &RequestFacts,
         plan: &RoutePlan,
+        right: &AttemptRight,
         draw: f64,
         now: MonoTime,
     ) -> PlaceStep {
@@ -221,6 +222,10 @@
                 FinalWord::refused_until(RefusalReason::Overloaded, ROOM_RETRY)
             }
         };
+        let word = match right.may_have_run() {
+            true => FinalWord::Unknown(UnknownReason::Cut),
+            false => word,
+        };
         self.settle(plan, word);
         PlaceStep::Refuse(word)
     }
@@ -251,6 +256,7 @@
         &mut self,
         facts: &RequestFacts,
         plan: &RoutePlan,
+        right: &AttemptRight,
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> Result<(), FinalWord> {
@@ -258,13 +264,12 @@
         if evidence == AttemptEvidence::NotSent {
             return Ok(());
         }
-        let may_have_run = evidence != AttemptEvidence::Declined;
         let is_blocked = self.suspects.is_blocked(facts.fingerprint);
         if !is_blocked && self.budget.take(&plan.service, self.peers.instances(), now) {
             return Ok(());
         }
-        let word = match may_have_run {
-            true => FinalWord::Unknown(crate::UnknownReason::Cut),
+        let word = match right.may_have_run() {
+            true => FinalWord::Unknown(UnknownReason::Cut),
             false => FinalWord::refused_until(RefusalReason::BudgetSpent, ROOM_RETRY),
         };
         self.settle(plan, word);
--- a/kwg-gate/src/session/attempt_right.rs
+++ b/kwg-gate/src/session/attempt_right.rs
@@ -10,6 +10,7 @@
     kind: RequestKind,
     runs_left: u8,
     sends_left: u8,
+    may_have_run: bool,
 }
 
 /// A request that a target may be running.
@@ -64,7 +65,7 @@
     /// The right of a new request.
     #[must_use]
     pub fn new(kind: RequestKind, max_attempts: u8) -> Self {
-        Self { kind, runs_left: max_attempts.max(1), sends_left: MAX_SENDS }
+        Self { kind, runs_left: max_attempts.max(1), sends_left: MAX_SENDS, may_have_run: false }
     }
 
     /// Spends the right: from here on the request may run.
@@ -73,6 +74,12 @@
         OpenAttempt(self)
     }
 
+    /// Whether a target may have run it before.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// How many targets may still run it.
     #[must_use]
     pub fn runs_left(&self) -> u8 {
@@ -93,19 +100,31 @@
     /// ```
     #[must_use]
     pub fn close(self, evidence: AttemptEvidence) -> AttemptVerdict {
-        let right = self.0;
-        let sends_left = right.sends_left.saturating_sub(1);
-        let again = |runs_left: u8, word: FinalWord| match runs_left > 0 && sends_left > 0 {
-            true => AttemptVerdict::Again(AttemptRight { kind: right.kind, runs_left, sends_left }),
-            false => AttemptVerdict::Final(word),
+        let AttemptRight { kind, runs_left, sends_left, may_have_run } = self.0;
+        let again = |runs_left: u8, may_have_run: bool, word: FinalWord| {
+            let sends_left = sends_left.saturating_sub(1);
+            match runs_left > 0 && sends_left > 0 {
+                true => AttemptVerdict::Again(AttemptRight {
+                    kind,
+                    runs_left,
+                    sends_left,
+                    may_have_run,
+                }),
+                false => AttemptVerdict::Final(word),
+            }
         };
-        let after_run = |reason: UnknownReason| match right.kind.is_repeatable() {
-            true => again(right.runs_left.saturating_sub(1), FinalWord::Unknown(reason)),
+        let after_run = |reason: UnknownReason| match kind.is_repeatable() {
+            true => again(runs_left.saturating_sub(1), true, FinalWord::Unknown(reason)),
             false => AttemptVerdict::Final(FinalWord::Unknown(reason)),
         };
         match evidence {
+            // What another target may have run before cannot be said not to have run.
             AttemptEvidence::NotSent | AttemptEvidence::Declined => {
-                again(right.runs_left, FinalWord::refused(RefusalReason::Declined))
+                let word = match may_have_run {
+                    true => FinalWord::Unknown(UnknownReason::Cut),
+                    false => FinalWord::refused(RefusalReason::Declined),
+                };
+                again(runs_left, may_have_run, word)
             }
             AttemptEvidence::Cut | AttemptEvidence::Silent => after_run(UnknownReason::Cut),
             AttemptEvidence::BadAnswer | AttemptEvidence::TargetFailure => {
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -97,7 +97,7 @@
 impl GateSession<Admitted> {
     /// Chooses a target.
     pub fn place(self, core: &mut GateCore, draw: f64, now: MonoTime) -> PlaceOutcome {
-        match core.place(&self.facts, &self.state.plan, draw, now) {
+        match core.place(&self.facts, &self.state.plan, &self.state.right, draw, now) {
             PlaceStep::Send(placement) => {
                 let Admitted { plan, right } = self.state;
                 let state = Placed { plan, right, placement };
@@ -137,7 +137,7 @@
         core.note_attempt_end(&self.facts, &plan, placement.target, evidence, now);
         match open.close(evidence) {
             AttemptVerdict::Again(right) => {
-                match core.allow_repeat(&self.facts, &plan, evidence, now) {
+                match core.allow_repeat(&self.facts, &plan, &right, evidence, now) {
                     Ok(()) => {
                         plan.tried.push(placement.target);
                         let state = Admitted { plan, right };
