feat(kwg-gate): instances speak within their failure domain, one of each speaks for it; fix: what a peer used before it was heard is not charged at once

Cause of the fix: a restarted instance charged every peer's count since that peer's start to its fresh buckets, and refused accounts that were within their quota.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -104,7 +104,7 @@
 
     /// Takes what a peer reports.
     pub fn take_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
-        self.peers.note_heard(peer, now);
+        self.peers.note_heard(peer, u32::from(digest.members), now);
         self.peers.note_waiting(peer, &digest.waiting);
         self.targets.take_digest(peer, digest, now);
         for usage in &digest.accounts {
@@ -134,6 +134,7 @@
         };
         GateDigest {
             run,
+            members: 1,
             orders_revision: self.orders_revision,
             registry_revision: self.registry.revision(),
             store_answers: true,
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -21,7 +21,7 @@
 pub use limit::{
     QuotaBook, QuotaOptions, RetryBudget, RetryBudgetOptions, SuspectBook, WaitTicket, WaitingList,
 };
-pub use peer::{AccountUsage, GateDigest, PeerBook, TargetReport};
+pub use peer::{AccountUsage, FleetRoster, GateDigest, PeerBook, TargetReport};
 pub use registry::{DomainMap, LoadDistance, TargetEntry, TargetRegistry};
 pub use session::{
     Admitted, AttemptEvidence, AttemptRight, AttemptVerdict, Dispatched, FinalWord, GateSession,
--- a/kwg-gate/src/limit/quota_book.rs
+++ b/kwg-gate/src/limit/quota_book.rs
@@ -118,8 +118,14 @@
             self.buckets.insert(label.clone(), bucket);
             return;
         };
-        let before = bucket.peers.get(peer).copied().filter(|before| before.run == run);
-        let news = used.saturating_sub(before.map_or(0, |before| before.used));
+        let known = bucket.peers.get(peer).copied();
+        let before = known.filter(|known| known.run == run);
+        // What a peer used before it was first heard was charged while this instance was not
+        // there, or is charged by the quota's tolerance; a new run of a known peer counts from 0.
+        let news = match (known, before) {
+            (None, _) => 0,
+            (Some(_), before) => used.saturating_sub(before.map_or(0, |before| before.used)),
+        };
         let span = before.map_or(1.0, |before| now.since(before.reported).as_secs_f64());
         let rate_per_s = news as f64 / span.max(0.1);
         bucket.level = bucket.level.map(|level| level - news as f64);
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -8,6 +8,8 @@
 pub struct GateDigest {
     /// The sender's run.
     pub run: u64,
+    /// Instances whose work it reports.
+    pub members: u16,
     /// Revision of the operators' rows that it has applied.
     pub orders_revision: u64,
     /// Revision of the targets' entries that it has applied.
@@ -24,6 +26,37 @@
     pub suspects: Vec<(u64, u32)>,
 }
 
+impl GateDigest {
+    /// Adds another instance's work to this one's.
+    pub fn add(&mut self, other: &Self) {
+        self.members += other.members;
+        for usage in &other.accounts {
+            match self.accounts.iter_mut().find(|known| known.label == usage.label) {
+                Some(known) => known.used += usage.used,
+                None => self.accounts.push(usage.clone()),
+            }
+        }
+        for (id, report) in &other.targets {
+            match self.targets.iter_mut().find(|(known, _)| known == id) {
+                Some((_, known)) => known.add(report),
+                None => self.targets.push((id.clone(), *report)),
+            }
+        }
+        for (service, count) in &other.waiting {
+            match self.waiting.iter_mut().find(|(known, _)| known == service) {
+                Some((_, known)) => *known = known.saturating_add(*count),
+                None => self.waiting.push((service.clone(), *count)),
+            }
+        }
+        for (fingerprint, count) in &other.suspects {
+            match self.suspects.iter_mut().find(|(known, _)| known == fingerprint) {
+                Some((_, known)) => *known += count,
+                None => self.suspects.push((*fingerprint, *count)),
+            }
+        }
+    }
+}
+
 /// What an account has used at one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountUsage {
@@ -53,3 +86,22 @@
     /// Samples behind it.
     pub hold_weight: u8,
 }
+
+impl TargetReport {
+    /// Adds another instance's report of the same target.
+    fn add(&mut self, other: &Self) {
+        self.running = self.running.saturating_add(other.running);
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+        self.good = self.good.wrapping_add(other.good);
+        self.bad = self.bad.wrapping_add(other.bad);
+        let mean = |own: u32, own_weight: u8, other: u32, weight: u8| {
+            let total = u32::from(own_weight) + u32::from(weight);
+            let sum = own * u32::from(own_weight) + other * u32::from(weight);
+            sum.checked_div(total).unwrap_or(0)
+        };
+        self.step_us = mean(self.step_us, self.step_weight, other.step_us, other.step_weight);
+        self.step_weight = self.step_weight.saturating_add(other.step_weight);
+        self.hold_ms = mean(self.hold_ms, self.hold_weight, other.hold_ms, other.hold_weight);
+        self.hold_weight = self.hold_weight.saturating_add(other.hold_weight);
+    }
+}
--- a/kwg-gate/src/peer/mod.rs
+++ b/kwg-gate/src/peer/mod.rs
@@ -1,7 +1,9 @@
 //! What instances tell each other.
 
+mod fleet_roster;
 mod gate_digest;
 mod peer_book;
 
+pub use fleet_roster::FleetRoster;
 pub use gate_digest::{AccountUsage, GateDigest, TargetReport};
 pub use peer_book::PeerBook;
--- a/kwg-gate/src/peer/peer_book.rs
+++ b/kwg-gate/src/peer/peer_book.rs
@@ -11,21 +11,29 @@
 /// When each peer was last heard.
 #[derive(Debug, Clone, Default)]
 pub struct PeerBook {
-    heard: HashMap<String, MonoTime>,
+    heard: HashMap<String, PeerRecord>,
     waiting: HashMap<String, Vec<(ServiceName, u16)>>,
     most: u32,
 }
 
+/// A peer, or the sum of a failure domain's instances.
+#[derive(Debug, Clone, Copy)]
+struct PeerRecord {
+    at: MonoTime,
+    members: u32,
+}
+
 impl PeerBook {
-    /// Notes that a peer was heard.
-    pub fn note_heard(&mut self, peer: &str, now: MonoTime) {
+    /// Notes that a peer was heard, which speaks for so many instances.
+    pub fn note_heard(&mut self, peer: &str, members: u32, now: MonoTime) {
+        let record = PeerRecord { at: now, members };
         match self.heard.get_mut(peer) {
-            Some(at) => *at = now,
+            Some(known) => *known = record,
             None => {
-                self.heard.insert(peer.to_owned(), now);
+                self.heard.insert(peer.to_owned(), record);
             }
         }
-        self.most = self.most.max(u32::try_from(self.heard.len()).unwrap_or(u32::MAX));
+        self.most = self.most.max(self.heard.values().map(|record| record.members).sum());
     }
 
     /// Notes how many requests wait for room at a peer.
@@ -45,11 +53,11 @@
 
     /// Removes and returns the peers that have fallen silent.
     pub fn take_silent(&mut self, now: MonoTime) -> Vec<String> {
-        let is_silent = |at: &MonoTime| now.since(*at) > SILENT_AFTER;
+        let is_silent = |record: &PeerRecord| now.since(record.at) > SILENT_AFTER;
         let silent: Vec<String> = self
             .heard
             .iter()
-            .filter(|(_, at)| is_silent(at))
+            .filter(|(_, record)| is_silent(record))
             .map(|(peer, _)| peer.clone())
             .collect();
         silent.iter().for_each(|peer| {
--- a/kwg-gateway/src/control/instance_desk.rs
+++ b/kwg-gateway/src/control/instance_desk.rs
@@ -30,7 +30,15 @@
 #[derive(Debug)]
 pub(crate) struct FleetReading {
     pub(crate) authority: FleetAuthority,
-    pub(crate) peers: Vec<(String, SocketAddr)>,
+    pub(crate) peers: Vec<FleetPeer>,
+}
+
+/// Another instance, as its row says.
+#[derive(Debug)]
+pub(crate) struct FleetPeer {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) domain: String,
 }
 
 impl InstanceDesk {
@@ -61,8 +69,9 @@
     }
 
     async fn try_join(&mut self) -> Result<FleetReading, String> {
-        let (key, address) = (self.own_key(), self.hub.settings.peer.to_string());
-        let value = Some(address.as_bytes());
+        let (key, settings) = (self.own_key(), &self.hub.settings);
+        let row = format!("{} {}", settings.peer, settings.gate.domains.own);
+        let value = Some(row.as_bytes());
         let write = StoreWrite { table: StoreTable::Instances, key: &key, value, expected: None };
         self.write(&write).await?;
         loop {
@@ -72,8 +81,10 @@
             if let Some(authority) = authority.and_then(decode_authority) {
                 let peers = reading.rows.iter().filter_map(|row| {
                     let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
-                    let address = String::from_utf8_lossy(row.value.as_deref()?).parse().ok()?;
-                    Some((name.to_owned(), address))
+                    let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
+                    let (address, domain) = text.split_once(' ')?;
+                    let (name, domain) = (name.to_owned(), domain.to_owned());
+                    Some(FleetPeer { name, address: address.parse().ok()?, domain })
                 });
                 return Ok(FleetReading { authority, peers: peers.collect() });
             }
--- a/kwg-gateway/src/control/peer_desk.rs
+++ b/kwg-gateway/src/control/peer_desk.rs
@@ -6,11 +6,12 @@
 
 use async_channel::{Receiver, Sender, unbounded};
 use async_executor::Executor;
-use kwg_gate::GateDigest;
+use kwg_gate::{FleetRoster, GateDigest};
 use kwg_model::{InstanceName, MonoTime};
 use kwg_peer::{LinkCommand, LinkOptions, LinkSink, PeerLink, TlsIdentity};
 use kwg_telemetry::{EventLine, HybridClock};
 use kwg_wire::{GateNotice, PeerBody, SharedTable};
+use rand::random;
 
 use super::control_hub::ControlHub;
 use super::instance_desk::InstanceDesk;
@@ -22,16 +23,19 @@
 const AHEAD_LIMIT: Duration = Duration::from_millis(500);
 /// Pause between two questions of that kind.
 const PULL_PAUSE: Duration = Duration::from_millis(600);
-/// Silence after which a peer gets no more digests. One that comes back says so itself.
-const SILENCE_LIMIT: Duration = Duration::from_secs(20);
+/// How often a failure domain's sum goes to the others: their targets are a second choice.
+const SUM_INTERVAL: Duration = Duration::from_millis(500);
+/// Prefix under which a domain's sum is counted beside single peers.
+const DOMAIN_PREFIX: &str = "domain/";
 
 /// Speaks with the other gateways.
 #[derive(Debug)]
 pub(crate) struct PeerDesk {
     hub: Rc<ControlHub>,
     commands: Sender<LinkCommand>,
-    addresses: HashMap<InstanceName, SocketAddr>,
-    heard: HashMap<InstanceName, MonoTime>,
+    roster: FleetRoster,
+    sums_sent: u64,
+    sum_due: MonoTime,
     behind_since: HashMap<SharedTable, MonoTime>,
     pulled: HashMap<SharedTable, MonoTime>,
     nudges: HashMap<SharedTable, Sender<()>>,
@@ -73,8 +77,9 @@
         Self {
             hub: Rc::clone(hub),
             commands,
-            addresses: HashMap::new(),
-            heard: HashMap::new(),
+            roster: FleetRoster::new(hub.settings.name.as_str(), &hub.settings.gate.domains.own),
+            sums_sent: 0,
+            sum_due: MonoTime::ZERO,
             behind_since: HashMap::new(),
             pulled: HashMap::new(),
             nudges,
@@ -115,16 +120,11 @@
         }
         self.commands = commands;
         let now = self.hub.clock.now();
-        for (name, address) in fleet.peers {
-            if let Ok(name) = InstanceName::new(name)
-                && name != own
-            {
-                self.heard.insert(name.clone(), now);
-                self.addresses.insert(name, address);
-            }
+        for peer in &fleet.peers {
+            self.roster.note(&peer.name, peer.address, &peer.domain, now);
         }
-        log::info!("event=joined peers={}", self.addresses.len());
-        self.command(LinkCommand::Addresses(self.addresses.clone()));
+        log::info!("event=joined peers={}", self.roster.addresses().count());
+        self.publish_addresses();
         loop {
             let arrival = async {
                 arriving.recv().await.map(|(from, notice)| DeskEvent::Arrival(from, notice))
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Sends a digest to every peer that is heard from.
+    /// Sends a digest to the neighbours, and the domain's sum to the other domains.
     fn tell(&mut self, digest: GateDigest) {
         let now = self.hub.clock.now();
         let digest = GateDigest {
@@ -148,13 +148,19 @@
             store_answers: self.hub.store_answers(),
             ..digest
         };
-        let address = self.hub.settings.peer;
-        let is_heard = |name: &InstanceName| {
-            self.heard.get(name).is_some_and(|at| now.since(*at) < SILENCE_LIMIT)
-        };
-        for name in self.addresses.keys().filter(|name| is_heard(name)) {
-            let notice = GateNotice::Digest { address, digest: Box::new(digest.clone()) };
-            self.send(name, notice);
+        let (address, domain) = (self.hub.settings.peer, &self.hub.settings.gate.domains.own);
+        for name in self.roster.neighbours(now) {
+            let digest = Box::new(digest.clone());
+            self.send(name, GateNotice::Digest { address, domain: domain.clone(), digest });
+        }
+        if now >= self.sum_due && self.roster.is_speaker(now) {
+            self.sum_due = now + SUM_INTERVAL;
+            self.sums_sent += 1;
+            let (number, sum) = (self.sums_sent, self.roster.domain_sum(&digest, now));
+            for name in self.roster.contacts(random(), now) {
+                let (domain, digest) = (domain.clone(), Box::new(sum.clone()));
+                self.send(name, GateNotice::DomainSum { domain, number, digest, pass_on: true });
+            }
         }
         self.hub.expire_targets();
     }
@@ -162,22 +168,37 @@
     fn take(&mut self, from: InstanceName, notice: GateNotice) {
         let now = self.hub.clock.now();
         match notice {
-            GateNotice::Digest { address, digest } => {
-                let is_new = self.heard.insert(from.clone(), now).is_none();
-                if self.addresses.insert(from.clone(), address) != Some(address) {
-                    self.command(LinkCommand::Addresses(self.addresses.clone()));
-                }
-                if is_new {
+            GateNotice::Digest { address, domain, digest } => {
+                if self.roster.note(from.as_str(), address, &domain, now) {
                     log::info!("event=peer-found peer={from} address={address}");
+                    self.publish_addresses();
+                }
+                if !self.roster.is_mesh() {
+                    self.roster.keep_digest(from.as_str(), &digest);
                 }
-                self.compare(&from, SharedTable::Orders, digest.orders_revision, now);
-                self.compare(&from, SharedTable::Targets, digest.registry_revision, now);
+                self.compare_all(&from, &digest, now);
                 self.hub.tell_traffic(TrafficInput::Digest(from.to_string(), digest));
             }
+            GateNotice::DomainSum { domain, number, digest, pass_on } => {
+                if !self.roster.take_sum(&domain, digest.run, number, now) {
+                    return;
+                }
+                self.roster.refresh_domain(&domain, now);
+                if pass_on {
+                    for name in self.roster.neighbours(now) {
+                        let (domain, digest) = (domain.clone(), digest.clone());
+                        let pass_on = false;
+                        self.send(name, GateNotice::DomainSum { domain, number, digest, pass_on });
+                    }
+                }
+                self.compare_all(&from, &digest, now);
+                let name = format!("{DOMAIN_PREFIX}{domain}");
+                self.hub.tell_traffic(TrafficInput::Digest(name, digest));
+            }
             GateNotice::Pull { table } => {
                 let mirrors = self.hub.mirrors.borrow();
                 if let Some(mirror) = mirrors.get(&table).filter(|mirror| mirror.is_filled()) {
-                    self.send(&from, copy_of(table, mirror));
+                    self.send(from.as_str(), copy_of(table, mirror));
                 }
             }
             GateNotice::Copy { table, revision, rows } => {
@@ -186,6 +207,11 @@
         }
     }
 
+    fn compare_all(&mut self, peer: &InstanceName, digest: &GateDigest, now: MonoTime) {
+        self.compare(peer, SharedTable::Orders, digest.orders_revision, now);
+        self.compare(peer, SharedTable::Targets, digest.registry_revision, now);
+    }
+
     /// Asks a peer that has known more than this instance for a while.
     fn compare(&mut self, peer: &InstanceName, table: SharedTable, revision: u64, now: MonoTime) {
         let known = self.hub.revision(table);
@@ -202,15 +228,26 @@
             let line = EventLine::new("behind-peer").field("peer", peer);
             let line = line.field("table", super::control_hub::table_name(table));
             log::info!("{}", line.field("known", known).field("peer_has", revision));
-            self.send(peer, GateNotice::Pull { table });
+            self.send(peer.as_str(), GateNotice::Pull { table });
             if self.nudges.get(&table).is_some_and(|nudge| nudge.try_send(()).is_err()) {
                 log::debug!("event=feed-already-nudged");
             }
         }
     }
 
-    fn send(&self, to: &InstanceName, notice: GateNotice) {
-        self.command(LinkCommand::Send { to: to.clone(), body: PeerBody::Gate(notice) });
+    fn send(&self, to: &str, notice: GateNotice) {
+        match InstanceName::new(to) {
+            Ok(to) => self.command(LinkCommand::Send { to, body: PeerBody::Gate(notice) }),
+            Err(error) => log::warn!("event=peer-unusable peer={to} error=\"{error}\""),
+        }
+    }
+
+    fn publish_addresses(&self) {
+        let named = self.roster.addresses();
+        let addresses: HashMap<InstanceName, SocketAddr> = named
+            .filter_map(|(name, address)| Some((InstanceName::new(name).ok()?, address)))
+            .collect();
+        self.command(LinkCommand::Addresses(addresses));
     }
 
     fn command(&self, command: LinkCommand) {
--- a/kwg-wire/src/gate_notice.rs
+++ b/kwg-wire/src/gate_notice.rs
@@ -10,9 +10,22 @@
     Digest {
         /// Where it can be reached, for peers that have not read of it.
         address: SocketAddr,
+        /// Its failure domain.
+        domain: String,
         /// Its report.
         digest: Box<GateDigest>,
     },
+    /// The work of a whole failure domain.
+    DomainSum {
+        /// The domain.
+        domain: String,
+        /// The number of this sum; later ones of one speaker are higher.
+        number: u64,
+        /// The sum.
+        digest: Box<GateDigest>,
+        /// Whether the receiver is to pass it on within its own domain.
+        pass_on: bool,
+    },
     /// It is behind on a table of the store, and the store does not answer it.
     Pull {
         /// The table.
