--- /dev/null
+++ b/knapweedglade/tests/support/mod.rs
@@ -0,0 +1,230 @@
+//! A gateway as a process, in front of stand-ins.
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use kwg_h1::{BodyDecoder, ReplyHead};
+use kwg_standin::{RunnerStandin, StoreStandin};
+use serde_json::{Value, json};
+
+/// Longest time for anything that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A store, runners and one gateway.
+pub struct TestFleet {
+    pub store: StoreStandin,
+    pub runners: Vec<RunnerStandin>,
+    pub gateway: GatewayChild,
+}
+
+pub struct GatewayChild {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Drop for GatewayChild {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(std::fs::remove_dir_all(&self.folder));
+    }
+}
+
+/// A free address on a loopback IP of this process and call, so that nobody else takes it
+/// between here and its use.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed).clamp(1, 254);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high.max(1), low, number);
+    TcpListener::bind((ip, 0)).and_then(|socket| socket.local_addr()).expect("a port is free")
+}
+
+impl GatewayChild {
+    pub fn start(name: &str, store: &StoreStandin) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("kwg-gateway-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("writable");
+        let (front, ready, metrics, peer) =
+            (free_address(), free_address(), free_address(), free_address());
+        let mut text = String::from("[gateway]\n");
+        writeln!(text, "name = {name}\ndomain = graz\nfront = {front}\nready = {ready}")
+            .expect("grows");
+        writeln!(text, "metrics = {metrics}\npeer = {peer}\nstore = {}", store.address())
+            .expect("grows");
+        text.push_str("grace_s = 8\n[domains]\ngraz = ost\n");
+        let file = folder.join("gateway.ini");
+        std::fs::write(&file, text).expect("writable");
+        let child = Command::new(env!("CARGO_BIN_EXE_knapweedglade"))
+            .args(["gateway", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("it was built");
+        Self { front, ready, metrics, child, folder }
+    }
+
+    pub fn ready_status(&self) -> u16 {
+        let Ok(mut stream) = TcpStream::connect(self.ready) else { return 0 };
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+        let question = b"GET /knapweedglade/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(question).expect("connected");
+        read_answer(&mut stream).status
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("ready", || self.ready_status() == 200);
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status().expect("kill is there");
+        assert!(status.success());
+    }
+
+    pub fn wait_exit(&mut self) -> Option<i32> {
+        let deadline = Instant::now() + Duration::from_secs(12);
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            assert!(Instant::now() < deadline, "the gateway does not end");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl TestFleet {
+    /// A store with the configuration, `count` runners of service `llm` and a ready gateway.
+    pub fn start(name: &str, count: usize) -> Self {
+        let store = StoreStandin::start().expect("a port is free");
+        store.put("op", "config", Some(config(1).to_string().as_bytes()));
+        let runners: Vec<RunnerStandin> =
+            (0..count).map(|_| RunnerStandin::start().expect("a port is free")).collect();
+        for (number, runner) in runners.iter().enumerate() {
+            store.put(
+                "servers",
+                &format!("i-{number}"),
+                Some(entry(runner, "ready").to_string().as_bytes()),
+            );
+        }
+        let gateway = GatewayChild::start(name, &store);
+        gateway.wait_ready();
+        Self { store, runners, gateway }
+    }
+
+    pub fn call(&self, call: &str) -> Answer {
+        call_at(self.gateway.front, call.as_bytes())
+    }
+
+    pub fn runs(&self) -> usize {
+        self.runners.iter().map(|runner| runner.seen().len()).sum()
+    }
+}
+
+/// A configuration: streams that may be resumed, streams that may not, requests that may be
+/// repeated and requests that may not.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, resume: bool| {
+        json!({ "name": name, "host": "graz.example", "prefix": prefix, "kind": kind,
+            "timeoutMs": 3000, "targetLatencyMs": 400, "priority": 0, "service": "llm",
+            "maxAttempts": 2, "authExempt": false, "streamResume": resume, "gapAimMs": 300 })
+    };
+    json!({ "version": version,
+        "routes": [route("draft", "/stream/draft/", "streaming", true),
+            route("digest", "/stream/digest/", "streaming", false),
+            route("scan", "/scan/", "idempotent", false),
+            route("open", "/open/", "non_idempotent", false)],
+        "services": [{ "name": "llm", "healthPath": "/health", "maxConns": 100 }],
+        "limits": { "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 600,
+            "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "hule", "apiKeys": ["key-1", "key-2"] }] })
+}
+
+pub fn entry(runner: &RunnerStandin, state: &str) -> Value {
+    json!({ "service": "llm", "address": runner.address().to_string(), "zone": "graz",
+        "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": 1 })
+}
+
+/// A request with the usual fields.
+pub fn request(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: graz.example\r\nX-Knapweedglade-Request-Id: {id}\r\n\
+         X-Knapweedglade-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+/// What a caller got.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// 0 if there was none.
+    pub status: u16,
+    pub head: Option<ReplyHead>,
+    pub body: Vec<u8>,
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.head.as_ref().and_then(|head| head.headers.get(name))
+    }
+}
+
+pub fn call_at(address: SocketAddr, bytes: &[u8]) -> Answer {
+    let Ok(mut stream) = TcpStream::connect(address) else { return Answer::default() };
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+    if stream.write_all(bytes).is_err() {
+        return Answer::default();
+    }
+    read_answer(&mut stream)
+}
+
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    let (mut inbox, mut buffer) = (Vec::new(), [0; 4096]);
+    let mut answer = Answer::default();
+    let mut decoder: Option<BodyDecoder> = None;
+    loop {
+        if decoder.is_none()
+            && let Ok(Some((head, used))) = ReplyHead::parse(&inbox)
+        {
+            inbox.drain(..used);
+            answer.status = head.status;
+            decoder = Some(BodyDecoder::new(head.framing));
+            answer.head = Some(head);
+        }
+        if let Some(decoder) = &mut decoder {
+            let used = decoder.decode(&inbox, &mut answer.body).expect("well framed");
+            inbox.drain(..used);
+            answer.is_whole = decoder.is_done();
+            if answer.is_whole {
+                return answer;
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => inbox.extend_from_slice(&buffer[..count]),
+            _ => return answer,
+        }
+    }
+}
+
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "{what}: not within {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/kwg-gate/src/limit/quota_book.rs
+++ b/kwg-gate/src/limit/quota_book.rs
@@ -5,8 +5,8 @@
 
 use crate::{AccountLabel, QuotaRule};
 
-/// Age beyond which a peer's count is extrapolated at its last rate: several digests are missing.
-const STALE_AFTER: Duration = Duration::from_millis(1_000);
+/// The shortest time between two reports, in seconds, over which a rate is taken.
+const SHORTEST_SPAN: f64 = 0.1;
 /// Time after which a silent peer is taken to be serving nobody.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
@@ -59,10 +59,18 @@
     run: u64,
     used: u64,
     rate_per_s: f64,
+    /// Units charged since its last report, by its rate.
+    estimated: f64,
     reported: MonoTime,
     charged: MonoTime,
 }
 
+impl PeerUsage {
+    fn new(run: u64, used: u64, now: MonoTime) -> Self {
+        Self { run, used, rate_per_s: 0.0, estimated: 0.0, reported: now, charged: now }
+    }
+}
+
 impl QuotaBook {
     /// A book that nobody has used.
     #[must_use]
@@ -112,7 +120,7 @@
         now: MonoTime,
     ) {
         let Some(bucket) = self.buckets.get_mut(label) else {
-            let usage = PeerUsage { run, used, rate_per_s: 0.0, reported: now, charged: now };
+            let usage = PeerUsage::new(run, used, now);
             let mut bucket = AccountBucket::new(now);
             bucket.peers.insert(peer.to_owned(), usage);
             self.buckets.insert(label.clone(), bucket);
@@ -127,9 +135,12 @@
             (Some(_), before) => used.saturating_sub(before.map_or(0, |before| before.used)),
         };
         let span = before.map_or(1.0, |before| now.since(before.reported).as_secs_f64());
-        let rate_per_s = news as f64 / span.max(0.1);
-        bucket.level = bucket.level.map(|level| level - news as f64);
-        let usage = PeerUsage { run, used, rate_per_s, reported: now, charged: now };
+        let rate_per_s = news as f64 / span.max(SHORTEST_SPAN);
+        let smooth = before.map_or(rate_per_s, |before| before.rate_per_s);
+        let estimated = known.map_or(0.0, |known| known.estimated);
+        bucket.level = bucket.level.map(|level| level - news as f64 + estimated);
+        let usage =
+            PeerUsage { rate_per_s: (smooth + rate_per_s) / 2.0, ..PeerUsage::new(run, used, now) };
         bucket.peers.insert(peer.to_owned(), usage);
     }
 
@@ -148,13 +159,14 @@
         let span = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
         let mut level = self.level.unwrap_or(rule.burst * FIRST_FILL);
-        // A peer that is out of touch goes on serving: what it takes is estimated.
+        // What peers take between two reports, or while they are out of touch, is estimated.
         for usage in self.peers.values_mut() {
-            let age = now.since(usage.reported);
-            if age > STALE_AFTER && age < FORGET_AFTER {
-                level -= usage.rate_per_s * now.since(usage.charged).as_secs_f64();
-                usage.charged = now;
+            if now.since(usage.reported) < FORGET_AFTER {
+                let estimate = usage.rate_per_s * now.since(usage.charged).as_secs_f64();
+                level -= estimate;
+                usage.estimated += estimate;
             }
+            usage.charged = now;
         }
         self.level = Some((level + rule.rate_per_s * span).min(rule.burst));
     }
--- a/kwg-standin/src/lib.rs
+++ b/kwg-standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod plain_service;
 mod platform;
 mod reference_answer;
+mod wire;
 
 pub use caller::{CallPlan, CallReport, CallResult, CallerAgent};
 pub use engine::{EngineOptions, EngineStandin};
@@ -16,3 +17,4 @@
 pub use plain_service::ServiceStandin;
 pub use platform::PlatformStandin;
 pub use reference_answer::ReferenceAnswer;
+pub use wire::{RunnerMode, RunnerStandin, SeenRequest, StoreMode, StoreStandin};
--- /dev/null
+++ b/kwg-standin/src/wire.rs
@@ -0,0 +1,8 @@
+//! The platform's store and its runners on their wire, with the faults that tests ask for.
+
+mod runner_standin;
+mod store_standin;
+mod wire_server;
+
+pub use runner_standin::{RunnerMode, RunnerStandin, SeenRequest};
+pub use store_standin::{StoreMode, StoreStandin};
--- /dev/null
+++ b/kwg-standin/src/wire/store_standin.rs
@@ -0,0 +1,228 @@
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use data_encoding::BASE64;
+use kwg_h1::{HeadWriter, RequestHead};
+use serde_json::{Value, json};
+
+use super::wire_server::{RequestReader, serve};
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreMode {
+    /// It serves.
+    #[default]
+    Up,
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    Throttled,
+    /// It takes calls and says nothing.
+    Silent,
+    /// It has dropped its history: feeds get 410 once, then it is up.
+    Forgetful,
+    /// It does what it is told and breaks the connection.
+    AnswersLost,
+}
+
+/// The platform's store, in memory.
+#[derive(Debug, Clone)]
+pub struct StoreStandin {
+    address: SocketAddr,
+    shared: Arc<SharedStore>,
+}
+
+#[derive(Debug, Default)]
+struct SharedStore {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    mode: StoreMode,
+    rows: BTreeMap<(String, String), (u64, String)>,
+    changes: Vec<(u64, String, String, Option<String>)>,
+    calls: u64,
+}
+
+impl StoreStandin {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// The system's error if no port is free.
+    pub fn start() -> io::Result<Self> {
+        let shared = Arc::new(SharedStore::default());
+        let serving = Arc::clone(&shared);
+        let address = serve(move |reader| serving.serve(reader))?;
+        Ok(Self { address, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.shared.state().mode = mode;
+        self.shared.changed.notify_all();
+    }
+
+    /// How many calls it has got.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.state().calls
+    }
+
+    /// Writes a row, or removes it.
+    pub fn put(&self, table: &str, key: &str, value: Option<&[u8]>) {
+        self.shared.state().put(table, key, value.map(|value| BASE64.encode(value)));
+        self.shared.changed.notify_all();
+    }
+
+    /// The bytes of a row.
+    #[must_use]
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.state();
+        let (_, value) = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        BASE64.decode(value.as_bytes()).ok()
+    }
+}
+
+impl SharedStore {
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, reader: &mut RequestReader) -> io::Result<()> {
+        while let Some((head, body)) = reader.next()? {
+            self.state().calls += 1;
+            let mode = self.state().mode;
+            let (status, reply) = match mode {
+                StoreMode::Silent => {
+                    while self.state().mode == StoreMode::Silent {
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                    return Ok(());
+                }
+                StoreMode::Busy => (503, json!({})),
+                StoreMode::Throttled => (429, json!({})),
+                _ => self.answer(&head, &body),
+            };
+            if mode == StoreMode::AnswersLost {
+                return Ok(());
+            }
+            let reply = HeadWriter::reply(status).finish_with(reply.to_string().as_bytes());
+            reader.stream.write_all(&reply)?;
+        }
+        Ok(())
+    }
+
+    fn answer(&self, head: &RequestHead, body: &[u8]) -> (u16, Value) {
+        let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+        let parameter = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+        };
+        let table = parameter("table").unwrap_or_default();
+        match path {
+            "/knapweedglade/rows-get" => (200, self.state().read(&table)),
+            "/knapweedglade/rows-feed" => {
+                let number = |name| parameter(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+                self.feed(&table, number("after"), Duration::from_millis(number("waitMs")))
+            }
+            "/knapweedglade/rows-tx" => {
+                let reply = self.state().transact(body);
+                self.changed.notify_all();
+                reply
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn feed(&self, table: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let deadline = Instant::now() + wait;
+        let mut state = self.state();
+        loop {
+            match state.mode {
+                StoreMode::Up | StoreMode::AnswersLost => {}
+                StoreMode::Forgetful => {
+                    state.mode = StoreMode::Up;
+                    return (410, json!({}));
+                }
+                _ => return (503, json!({})),
+            }
+            let rows = state.changes_after(table, after);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !rows.is_empty() || left.is_zero() {
+                return (200, json!({ "rows": rows, "ver": state.revision, "nowMs": 1 }));
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+impl StoreState {
+    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.revision += 1;
+        let name = (table.to_owned(), key.to_owned());
+        match &value {
+            Some(value) => {
+                self.rows.insert(name, (self.revision, value.clone()));
+            }
+            None => {
+                self.rows.remove(&name);
+            }
+        }
+        self.changes.push((self.revision, table.to_owned(), key.to_owned(), value));
+    }
+
+    fn read(&self, table: &str) -> Value {
+        let rows = self.rows.iter().filter(|((name, _), _)| name == table);
+        let rows = rows.map(|((table, key), (ver, value))| {
+            json!({ "table": table, "part": "", "key": key, "value": value, "ver": ver })
+        });
+        let rows: Vec<Value> = rows.collect();
+        json!({ "rows": rows, "morePages": false, "ver": self.revision, "nowMs": 1 })
+    }
+
+    fn changes_after(&self, table: &str, after: u64) -> Vec<Value> {
+        let news = self.changes.iter().filter(|(ver, name, ..)| *ver > after && name == table);
+        news.map(|(ver, table, key, value)| match value {
+            Some(value) => {
+                json!({ "table": table, "part": "", "key": key, "value": value, "ver": ver })
+            }
+            None => {
+                json!({ "table": table, "part": "", "key": key, "ver": ver, "tombstone": true })
+            }
+        })
+        .collect()
+    }
+
+    fn transact(&mut self, body: &[u8]) -> (u16, Value) {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else { return (400, json!({})) };
+        let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or("").to_owned();
+        for entry in entries("expectedRev") {
+            let name = (text(&entry, "table"), text(&entry, "key"));
+            let known = self.rows.get(&name).map_or(0, |(ver, _)| *ver);
+            if entry["ver"].as_u64() != Some(known) {
+                return (412, json!({ "rows": [], "ver": self.revision, "nowMs": 1 }));
+            }
+        }
+        for entry in entries("writes") {
+            self.put(&text(&entry, "table"), &text(&entry, "key"), Some(text(&entry, "value")));
+        }
+        for entry in entries("remove") {
+            self.put(&text(&entry, "table"), &text(&entry, "key"), None);
+        }
+        (200, json!({ "ver": self.revision, "nowMs": 1 }))
+    }
+}
