--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -6,10 +6,10 @@
 use crate::session::RoutePlan;
 use crate::target::VersionFilter;
 use crate::{
-    AccountUsage, AttemptEvidence, AttemptRight, AttemptSample, FinalWord, GateDigest, GateOptions,
-    PeerBook, PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason, RequestFacts,
-    RetryBudget, RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook, TargetKey,
-    TargetRegistry, UnknownReason, WaitingList,
+    AccountUsage, AttemptEvidence, AttemptRight, AttemptSample, FinalWord, FleetView, GateDigest,
+    GateOptions, PeerBook, PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason,
+    RequestFacts, RetryBudget, RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook,
+    TargetKey, TargetRegistry, UnknownReason, WaitingList,
 };
 
 /// When a caller that was refused for want of room should come back: bursts last seconds, and a
@@ -20,6 +20,9 @@
 /// Every request may wait for so long, even if it will be late: places become free all the time.
 const SHORTEST_HOLD: Duration = Duration::from_millis(60);
 
+/// Instances that are assumed until the fleet is known: about as many as the smallest fleets have.
+const ASSUMED_FLEET: u32 = 10;
+
 /// The state behind all decisions of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct GateCore {
@@ -33,6 +36,7 @@
     suspects: SuspectBook,
     peers: PeerBook,
     waiting: WaitingList,
+    fleet_size: u32,
 }
 
 /// What becomes of an admitted request.
@@ -59,6 +63,7 @@
             suspects: SuspectBook::default(),
             peers: PeerBook::default(),
             waiting: WaitingList::default(),
+            fleet_size: ASSUMED_FLEET,
             options,
         }
     }
@@ -102,6 +107,11 @@
         self.targets.sync(registry)
     }
 
+    /// Takes the number of instances that are believed to exist, this one included.
+    pub fn set_fleet_size(&mut self, size: u32) {
+        self.fleet_size = size;
+    }
+
     /// Takes what a peer reports.
     pub fn take_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
         self.peers.note_heard(peer, u32::from(digest.members), now);
@@ -169,7 +179,8 @@
         let quota = account.and_then(|account| account.quota);
         let units = quota.map_or(0, |quota| units_of(facts, &quota));
         if let (Some(account), Some(quota)) = (account, quota) {
-            let taken = self.quotas.take(&account.label, &quota, units, now);
+            let fleet = FleetView { size: self.fleet_size, heard: self.peers.heard() };
+            let taken = self.quotas.take(&account.label, &quota, units, fleet, now);
             taken.map_err(|wait| FinalWord::refused_until(RefusalReason::OverQuota, wait))?;
         }
         let engine = table.service(service).and_then(|rule| rule.engine);
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -19,7 +19,8 @@
 pub use gate_core::GateCore;
 pub use gate_options::GateOptions;
 pub use limit::{
-    QuotaBook, QuotaOptions, RetryBudget, RetryBudgetOptions, SuspectBook, WaitTicket, WaitingList,
+    FleetView, QuotaBook, QuotaOptions, RetryBudget, RetryBudgetOptions, SuspectBook, WaitTicket,
+    WaitingList,
 };
 pub use peer::{AccountUsage, FleetRoster, GateDigest, PeerBook, TargetReport};
 pub use registry::{DomainMap, LoadDistance, TargetEntry, TargetRegistry};
--- a/kwg-gate/src/limit/mod.rs
+++ b/kwg-gate/src/limit/mod.rs
@@ -5,7 +5,7 @@
 mod suspect_book;
 mod waiting_list;
 
-pub use quota_book::{QuotaBook, QuotaOptions};
+pub use quota_book::{FleetView, QuotaBook, QuotaOptions};
 pub use retry_budget::{RetryBudget, RetryBudgetOptions};
 pub use suspect_book::SuspectBook;
 pub use waiting_list::{WaitTicket, WaitingList};
--- a/kwg-gate/src/limit/quota_book.rs
+++ b/kwg-gate/src/limit/quota_book.rs
@@ -7,15 +7,32 @@
 
 /// The shortest time between two reports, in seconds, over which a rate is taken.
 const SHORTEST_SPAN: f64 = 0.1;
-/// Time after which a silent peer is taken to be serving nobody.
-const FORGET_AFTER: Duration = Duration::from_secs(15);
-
+/// Weight of the latest report in a peer's rate: single reports of a throttled account vary.
+const RATE_WEIGHT: f64 = 0.25;
+/// Age beyond which a peer is not estimated any more. By then the view of the fleet lacks it.
+const STALE_AFTER: Duration = Duration::from_millis(1_800);
 /// Part of the tolerance that is given to callers; the rest covers what instances admit before
 /// they know of each other.
-const GIVEN_PART: f64 = 0.5;
+const GIVEN_PART: f64 = 0.3;
 /// Part of a bucket that a new instance finds: what was used before its start is not known.
 const FIRST_FILL: f64 = 0.5;
 
+/// How much of the fleet an instance hears of. The part of a quota that belongs to the others is
+/// left to them: they may be serving somebody.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetView {
+    /// Instances that are believed to exist, this one included.
+    pub size: u32,
+    /// Those that it hears of, this one included.
+    pub heard: u32,
+}
+
+impl FleetView {
+    fn share(self) -> f64 {
+        (f64::from(self.heard.max(1)) / f64::from(self.size.max(1))).min(1.0)
+    }
+}
+
 /// How far the sum over all instances may exceed a quota.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct QuotaOptions {
@@ -87,11 +104,12 @@
         label: &AccountLabel,
         rule: &QuotaRule,
         units: u64,
+        fleet: FleetView,
         now: MonoTime,
     ) -> Result<(), Duration> {
         let rule = &self.options.widen(rule);
         let bucket = self.buckets.entry(label.clone()).or_insert_with(|| AccountBucket::new(now));
-        bucket.refill(rule, now);
+        bucket.refill(rule, fleet, now);
         let level = bucket.level.unwrap_or(0.0);
         if level <= 0.0 {
             let wait = (units as f64 - level) / rule.rate_per_s.max(1.0);
@@ -128,10 +146,12 @@
         };
         let known = bucket.peers.get(peer).copied();
         let before = known.filter(|known| known.run == run);
-        // What a peer used before it was first heard was charged while this instance was not
-        // there, or is charged by the quota's tolerance; a new run of a known peer counts from 0.
+        let is_stale = known.is_some_and(|known| now.since(known.reported) > STALE_AFTER);
+        // What a peer used before it was heard, or while it was out of touch, came out of the part
+        // that was left to it. A new run of a known peer counts from 0.
         let news = match (known, before) {
             (None, _) => 0,
+            _ if is_stale => 0,
             (Some(_), before) => used.saturating_sub(before.map_or(0, |before| before.used)),
         };
         let span = before.map_or(1.0, |before| now.since(before.reported).as_secs_f64());
@@ -139,8 +159,8 @@
         let smooth = before.map_or(rate_per_s, |before| before.rate_per_s);
         let estimated = known.map_or(0.0, |known| known.estimated);
         bucket.level = bucket.level.map(|level| level - news as f64 + estimated);
-        let usage =
-            PeerUsage { rate_per_s: (smooth + rate_per_s) / 2.0, ..PeerUsage::new(run, used, now) };
+        let rate_per_s = smooth + (rate_per_s - smooth) * RATE_WEIGHT;
+        let usage = PeerUsage { rate_per_s, ..PeerUsage::new(run, used, now) };
         bucket.peers.insert(peer.to_owned(), usage);
     }
 
@@ -155,19 +175,20 @@
         Self { level: None, refilled: now, own_used: 0, peers: HashMap::new() }
     }
 
-    fn refill(&mut self, rule: &QuotaRule, now: MonoTime) {
+    fn refill(&mut self, rule: &QuotaRule, fleet: FleetView, now: MonoTime) {
         let span = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
-        let mut level = self.level.unwrap_or(rule.burst * FIRST_FILL);
-        // What peers take between two reports, or while they are out of touch, is estimated.
+        let first_fill = rule.burst * FIRST_FILL / f64::from(fleet.size.max(1));
+        let mut level = self.level.unwrap_or(first_fill);
+        // What peers take between two reports is estimated.
         for usage in self.peers.values_mut() {
-            if now.since(usage.reported) < FORGET_AFTER {
+            if now.since(usage.reported) <= STALE_AFTER {
                 let estimate = usage.rate_per_s * now.since(usage.charged).as_secs_f64();
                 level -= estimate;
                 usage.estimated += estimate;
             }
             usage.charged = now;
         }
-        self.level = Some((level + rule.rate_per_s * span).min(rule.burst));
+        self.level = Some((level + rule.rate_per_s * fleet.share() * span).min(rule.burst));
     }
 }
--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -9,8 +9,13 @@
 /// Largest fleet in which every instance speaks with every other one. Beyond it, instances speak
 /// within their failure domain, and one of each domain speaks for it.
 const MESH_SIZE: usize = 16;
+/// Instances of one failure domain that ask the store: one may fail at any moment.
+const READERS: usize = 2;
 /// Silence after which a neighbour is taken to be gone, and another one speaks in its place.
 const SILENT_AFTER: Duration = Duration::from_millis(1_100);
+/// How long a silent instance is still counted as a part of the fleet: the window of a quota, in
+/// which it may have served somebody.
+const COUNTED_FOR: Duration = Duration::from_secs(8);
 /// Silence after which an instance is not spoken to any more. One that comes back says so itself.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
@@ -59,6 +64,13 @@
         }
     }
 
+    /// Instances that have been there within the last seconds, this one included.
+    #[must_use]
+    pub fn size(&self, now: MonoTime) -> u32 {
+        let present = self.members.values().filter(|member| now.since(member.heard) < COUNTED_FOR);
+        1 + u32::try_from(present.count()).unwrap_or(u32::MAX)
+    }
+
     /// Every known address.
     pub fn addresses(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
         self.members.iter().map(|(name, member)| (name.as_str(), member.address))
@@ -91,6 +103,18 @@
             && !earlier.any(|(_, member)| member.domain == self.domain && is_live(member))
     }
 
+    /// Whether this instance asks the store itself. In a large fleet some of each failure domain
+    /// do, those with the first names whom it answers, and pass on what they hear.
+    #[must_use]
+    pub fn is_reader(&self, now: MonoTime) -> bool {
+        let reads = |member: &RosterMember| {
+            let answers = member.digest.as_ref().is_some_and(|digest| digest.store_answers);
+            member.domain == self.domain && answers && now.since(member.heard) < SILENT_AFTER
+        };
+        let earlier = self.members.range(..self.own.clone()).filter(|(_, member)| reads(member));
+        self.is_mesh() || earlier.count() < READERS
+    }
+
     /// One instance of each other failure domain, for a draw from 0 to 1.
     #[must_use]
     pub fn contacts(&self, draw: f64, now: MonoTime) -> Vec<&str> {
--- a/kwg-gate/src/peer/peer_book.rs
+++ b/kwg-gate/src/peer/peer_book.rs
@@ -67,6 +67,12 @@
         silent
     }
 
+    /// Instances that are heard of, this one included.
+    #[must_use]
+    pub fn heard(&self) -> u32 {
+        1 + self.heard.values().map(|record| record.members).sum::<u32>()
+    }
+
     /// The most instances that were there at one time, this one included: a part of a shared
     /// budget that was dealt out while a peer is out of touch must not be dealt out again.
     #[must_use]
--- a/kwg-gateway/src/control/control_hub.rs
+++ b/kwg-gateway/src/control/control_hub.rs
@@ -26,6 +26,17 @@
     pub(crate) registry: RefCell<TargetRegistry>,
     pub(crate) store_answers: RefCell<HashMap<SharedTable, bool>>,
     table_version: Cell<u64>,
+    is_reader: Cell<bool>,
+    changes: Sender<TableChanges>,
+}
+
+/// Changes that the store has told, to be passed on.
+#[derive(Debug, Clone)]
+pub(crate) struct TableChanges {
+    pub(crate) table: SharedTable,
+    /// The last change before these.
+    pub(crate) base: u64,
+    pub(crate) rows: Vec<StoreRow>,
 }
 
 impl ControlHub {
@@ -35,6 +46,7 @@
         clock: ClockHandle,
         metrics: GatewayMetrics,
         traffic: Sender<TrafficInput>,
+        changes: Sender<TableChanges>,
     ) -> Self {
         Self {
             settings,
@@ -46,14 +58,35 @@
             registry: RefCell::default(),
             store_answers: RefCell::default(),
             table_version: Cell::new(0),
+            is_reader: Cell::new(true),
+            changes,
         }
     }
 
-    /// The revision of a table that is known here.
+    /// The revision from which the store's feed of a table goes on.
     pub(crate) fn revision(&self, table: SharedTable) -> u64 {
         self.mirrors.borrow().get(&table).map_or(0, TableMirror::revision)
     }
 
+    /// The last change of a table that is known here.
+    pub(crate) fn content(&self, table: SharedTable) -> u64 {
+        self.mirrors.borrow().get(&table).map_or(0, TableMirror::content)
+    }
+
+    /// Whether this instance asks the store itself, or leaves that to others of its domain.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.is_reader.get()
+    }
+
+    /// Sets whether this instance asks the store itself; returns whether that is a change.
+    pub(crate) fn set_reader(&self, is_reader: bool) -> bool {
+        let is_change = self.is_reader.replace(is_reader) != is_reader;
+        if is_change {
+            log::info!("event=reader-changed reads={is_reader}");
+        }
+        is_change
+    }
+
     /// Whether the store answers for every table.
     pub(crate) fn store_answers(&self) -> bool {
         let answers = self.store_answers.borrow();
@@ -74,8 +107,23 @@
         }
     }
 
-    /// Takes changes of a table.
-    pub(crate) fn take_changes(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
+    /// Takes changes that the store tells, and passes them on.
+    pub(crate) fn take_feed(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
+        let base = self.content(table);
+        let news = self.take_changes(table, rows, revision);
+        let changes = TableChanges { table, base, rows: news };
+        if !changes.rows.is_empty() && self.changes.try_send(changes).is_err() {
+            self.metrics.note_dropped("changes");
+        }
+    }
+
+    /// Takes changes of a table; returns those that were not known.
+    pub(crate) fn take_changes(
+        &self,
+        table: SharedTable,
+        rows: Vec<StoreRow>,
+        revision: u64,
+    ) -> Vec<StoreRow> {
         let news = {
             let mut mirrors = self.mirrors.borrow_mut();
             mirrors.entry(table).or_default().apply(rows, revision)
@@ -96,6 +144,7 @@
                 }
             }
         }
+        news
     }
 
     /// Takes a full reading of a table, from the store or from a peer.
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -23,6 +23,9 @@
 /// Longest time for taking this instance's row out of the store.
 const LEAVE_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Changes that wait to be passed on; peers ask for what they miss.
+const CHANGES_WAITING: usize = 64;
+
 /// The thread that keeps what the fleet knows.
 #[derive(Debug)]
 pub(crate) struct ControlThread {
@@ -41,7 +44,9 @@
     /// Runs until the instance leaves.
     pub(crate) fn run(self) {
         let (settings, clock) = (self.settings, self.clock);
-        let hub = ControlHub::new(settings, self.run, clock, self.metrics.clone(), self.traffic);
+        let (changes, changed) = bounded(CHANGES_WAITING);
+        let hub =
+            ControlHub::new(settings, self.run, clock, self.metrics.clone(), self.traffic, changes);
         let hub = Rc::new(hub);
         let (local, shared) = (LocalExecutor::new(), Arc::new(Executor::new()));
         let mut nudges = HashMap::new();
@@ -55,7 +60,7 @@
             Err(error) => log::error!("event=listen-failed error=\"{error}\""),
         }
         let desk = PeerDesk::new(&hub, nudges);
-        local.spawn(desk.run(Arc::clone(&shared), self.digests)).detach();
+        local.spawn(desk.run(Arc::clone(&shared), self.digests, changed)).detach();
         let leaving = self.leaving;
         block_on(local.run(shared.run(async {
             // An error means that the sender is gone, which is the signal.
--- a/kwg-gateway/src/control/peer_desk.rs
+++ b/kwg-gateway/src/control/peer_desk.rs
@@ -6,6 +6,8 @@
 
 use async_channel::{Receiver, Sender, unbounded};
 use async_executor::Executor;
+use futures_lite::FutureExt;
+use kwg_adapter::StoreRow;
 use kwg_gate::{FleetRoster, GateDigest};
 use kwg_model::{InstanceName, MonoTime};
 use kwg_peer::{LinkCommand, LinkOptions, LinkSink, PeerLink, TlsIdentity};
@@ -13,7 +15,7 @@
 use kwg_wire::{GateNotice, PeerBody, SharedTable};
 use rand::random;
 
-use super::control_hub::ControlHub;
+use super::control_hub::{ControlHub, TableChanges, table_name};
 use super::instance_desk::InstanceDesk;
 use super::table_mirror::TableMirror;
 use crate::gateway_metrics::GatewayMetrics;
@@ -34,6 +36,7 @@
     hub: Rc<ControlHub>,
     commands: Sender<LinkCommand>,
     roster: FleetRoster,
+    fleet_size: u32,
     sums_sent: u64,
     sum_due: MonoTime,
     behind_since: HashMap<SharedTable, MonoTime>,
@@ -69,6 +72,7 @@
 enum DeskEvent {
     Arrival(InstanceName, GateNotice),
     Digest(GateDigest),
+    Changes(TableChanges),
 }
 
 impl PeerDesk {
@@ -78,6 +82,7 @@
             hub: Rc::clone(hub),
             commands,
             roster: FleetRoster::new(hub.settings.name.as_str(), &hub.settings.gate.domains.own),
+            fleet_size: 0,
             sums_sent: 0,
             sum_due: MonoTime::ZERO,
             behind_since: HashMap::new(),
@@ -91,6 +96,7 @@
         mut self,
         executor: Arc<Executor<'static>>,
         digests: Receiver<OwnDigest>,
+        changes: Receiver<TableChanges>,
     ) {
         let fleet = InstanceDesk::new(&self.hub).join().await;
         let (arrivals, arriving) = unbounded();
@@ -131,7 +137,9 @@
             };
             let digest =
                 async { digests.recv().await.map(|OwnDigest(digest)| DeskEvent::Digest(digest)) };
-            match futures_lite::future::or(arrival, digest).await {
+            let change = async { changes.recv().await.map(DeskEvent::Changes) };
+            match change.or(arrival).or(digest).await {
+                Ok(DeskEvent::Changes(changes)) => self.pass_on(&changes),
                 Ok(DeskEvent::Arrival(from, notice)) => self.take(from, notice),
                 Ok(DeskEvent::Digest(digest)) => self.tell(digest),
                 Err(_) => return,
@@ -143,8 +151,8 @@
     fn tell(&mut self, digest: GateDigest) {
         let now = self.hub.clock.now();
         let digest = GateDigest {
-            orders_revision: self.hub.revision(SharedTable::Orders),
-            registry_revision: self.hub.revision(SharedTable::Targets),
+            orders_revision: self.hub.content(SharedTable::Orders),
+            registry_revision: self.hub.content(SharedTable::Targets),
             store_answers: self.hub.store_answers(),
             ..digest
         };
@@ -163,6 +171,31 @@
             }
         }
         self.hub.expire_targets();
+        let size = self.roster.size(now);
+        if std::mem::replace(&mut self.fleet_size, size) != size {
+            log::info!("event=fleet-size instances={size}");
+            self.hub.tell_traffic(TrafficInput::FleetSize(size));
+        }
+        if self.hub.set_reader(self.roster.is_reader(now)) {
+            self.nudges.values().for_each(wake);
+        }
+    }
+
+    /// Passes on what the store has told, where neighbours leave the asking to this instance.
+    fn pass_on(&self, changes: &TableChanges) {
+        if self.roster.is_mesh() {
+            return;
+        }
+        let now = self.hub.clock.now();
+        let rows: Vec<_> = changes
+            .rows
+            .iter()
+            .map(|row| (row.key.clone(), row.revision, row.value.clone()))
+            .collect();
+        for name in self.roster.neighbours(now) {
+            let (table, base, rows) = (changes.table, changes.base, rows.clone());
+            self.send(name, GateNotice::Changes { table, base, rows });
+        }
     }
 
     fn take(&mut self, from: InstanceName, notice: GateNotice) {
@@ -201,6 +234,18 @@
                     self.send(from.as_str(), copy_of(table, mirror));
                 }
             }
+            GateNotice::Changes { table, base, rows } => {
+                if base > self.hub.content(table) {
+                    return self.send(from.as_str(), GateNotice::Pull { table });
+                }
+                let revision = rows.iter().map(|(_, revision, _)| *revision).max().unwrap_or(0);
+                let rows = rows.into_iter().map(|(key, revision, value)| StoreRow {
+                    key,
+                    value,
+                    revision,
+                });
+                self.hub.take_changes(table, rows.collect(), revision);
+            }
             GateNotice::Copy { table, revision, rows } => {
                 self.hub.take_reading(table, rows, revision, from.as_str());
             }
@@ -214,7 +259,7 @@
 
     /// Asks a peer that has known more than this instance for a while.
     fn compare(&mut self, peer: &InstanceName, table: SharedTable, revision: u64, now: MonoTime) {
-        let known = self.hub.revision(table);
+        let known = self.hub.content(table);
         if revision <= known {
             if revision == known {
                 self.behind_since.remove(&table);
@@ -226,12 +271,10 @@
         if now.since(since) > AHEAD_LIMIT && is_due {
             self.pulled.insert(table, now);
             let line = EventLine::new("behind-peer").field("peer", peer);
-            let line = line.field("table", super::control_hub::table_name(table));
+            let line = line.field("table", table_name(table));
             log::info!("{}", line.field("known", known).field("peer_has", revision));
             self.send(peer.as_str(), GateNotice::Pull { table });
-            if self.nudges.get(&table).is_some_and(|nudge| nudge.try_send(()).is_err()) {
-                log::debug!("event=feed-already-nudged");
-            }
+            self.nudges.get(&table).into_iter().for_each(wake);
         }
     }
 
@@ -257,6 +300,12 @@
     }
 }
 
+fn wake(nudge: &Sender<()>) {
+    if nudge.try_send(()).is_err() {
+        log::debug!("event=feed-already-nudged");
+    }
+}
+
 fn copy_of(table: SharedTable, mirror: &TableMirror) -> GateNotice {
     let rows =
         mirror.rows().map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()));
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -16,6 +16,8 @@
     Registry(Arc<TargetRegistry>),
     /// What a peer reports.
     Digest(String, Box<GateDigest>),
+    /// How many instances there are.
+    FleetSize(u32),
     /// Serve what is there, take no new work.
     Stop,
     /// Close idle connections.
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -96,6 +96,7 @@
                 drop(core);
                 call_waiting(hub);
             }
+            TrafficInput::FleetSize(size) => core.set_fleet_size(size),
             TrafficInput::Stop => {
                 hub.is_stopping.set(true);
                 log::info!("event=stopping open={}", hub.open_connections.get());
--- /dev/null
+++ b/kwg-gateway/tests/unit/table_mirror.rs
@@ -0,0 +1,42 @@
+//! Copies of the store's tables never go back.
+
+use kwg_adapter::StoreRow;
+
+use super::TableMirror;
+
+fn change(key: &str, value: Option<&str>, revision: u64) -> StoreRow {
+    StoreRow { key: key.to_owned(), value: value.map(|text| text.as_bytes().to_vec()), revision }
+}
+
+fn keys(mirror: &TableMirror) -> Vec<&str> {
+    mirror.rows().map(|(key, ..)| key).collect()
+}
+
+#[test]
+fn a_reading_from_before_a_known_change_is_not_taken() {
+    let mut mirror = TableMirror::default();
+    assert!(mirror.replace([("a".to_owned(), 3, vec![1])], 10));
+    mirror.apply(vec![change("b", Some("x"), 12)], 12);
+    assert!(!mirror.replace([("a".to_owned(), 3, vec![1])], 11), "it lacks b");
+    assert_eq!(keys(&mirror), ["a", "b"]);
+    assert!(mirror.replace([("b".to_owned(), 12, vec![2])], 14), "a has been removed since");
+    assert_eq!(keys(&mirror), ["b"]);
+}
+
+#[test]
+fn a_change_that_is_known_changes_nothing() {
+    let mut mirror = TableMirror::default();
+    assert_eq!(mirror.apply(vec![change("a", Some("x"), 5)], 5).len(), 1);
+    assert_eq!(mirror.apply(vec![change("a", None, 6)], 9).len(), 1);
+    assert!(mirror.apply(vec![change("a", Some("x"), 5)], 5).is_empty(), "late and known");
+    assert!(keys(&mirror).is_empty());
+    assert_eq!((mirror.content(), mirror.revision()), (6, 9));
+}
+
+#[test]
+fn changes_elsewhere_in_the_store_are_no_news_of_this_table() {
+    let mut mirror = TableMirror::default();
+    mirror.apply(vec![change("a", Some("x"), 5)], 5);
+    mirror.apply(Vec::new(), 90);
+    assert_eq!((mirror.content(), mirror.revision()), (5, 90));
+}
--- a/kwg-wire/src/gate_notice.rs
+++ b/kwg-wire/src/gate_notice.rs
@@ -31,6 +31,15 @@
         /// The table.
         table: SharedTable,
     },
+    /// Changes of a table that the store has told the sender.
+    Changes {
+        /// The table.
+        table: SharedTable,
+        /// The last change before these.
+        base: u64,
+        /// Keys, revisions and bytes; none for rows that were removed.
+        rows: Vec<(String, u64, Option<Vec<u8>>)>,
+    },
     /// A copy of a table, as the store gave it.
     Copy {
         /// The table.
