--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -13,10 +13,8 @@
 const READERS: usize = 2;
 /// Silence after which a neighbour is taken to be gone, and another one speaks in its place.
 const SILENT_AFTER: Duration = Duration::from_millis(1_100);
-/// How long a silent instance is still counted as a part of the fleet: the window of a quota, in
-/// which it may have served somebody.
-const COUNTED_FOR: Duration = Duration::from_secs(8);
-/// Silence after which an instance is not spoken to any more. One that comes back says so itself.
+/// Silence after which an instance is no longer counted or spoken to: longer than cuts usually
+/// last, for whoever is cut off may still be serving. One that comes back says so itself.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
 /// The instances of the fleet, and who speaks with whom.
@@ -67,7 +65,7 @@
     /// Instances that have been there within the last seconds, this one included.
     #[must_use]
     pub fn size(&self, now: MonoTime) -> u32 {
-        let present = self.members.values().filter(|member| now.since(member.heard) < COUNTED_FOR);
+        let present = self.members.values().filter(|member| now.since(member.heard) < FORGET_AFTER);
         1 + u32::try_from(present.count()).unwrap_or(u32::MAX)
     }
 
--- a/kwg-gateway/src/control/control_hub.rs
+++ b/kwg-gateway/src/control/control_hub.rs
@@ -27,6 +27,7 @@
     pub(crate) store_answers: RefCell<HashMap<SharedTable, bool>>,
     table_version: Cell<u64>,
     is_reader: Cell<bool>,
+    is_speaker: Cell<bool>,
     changes: Sender<TableChanges>,
 }
 
@@ -59,6 +60,7 @@
             store_answers: RefCell::default(),
             table_version: Cell::new(0),
             is_reader: Cell::new(true),
+            is_speaker: Cell::new(false),
             changes,
         }
     }
@@ -78,6 +80,18 @@
         self.is_reader.get()
     }
 
+    /// Whether this instance speaks for its failure domain.
+    pub(crate) fn is_speaker(&self) -> bool {
+        self.is_speaker.get()
+    }
+
+    /// Sets whether this instance speaks for its failure domain.
+    pub(crate) fn set_speaker(&self, is_speaker: bool) {
+        if self.is_speaker.replace(is_speaker) != is_speaker {
+            log::info!("event=speaker-changed speaks={is_speaker}");
+        }
+    }
+
     /// Sets whether this instance asks the store itself; returns whether that is a change.
     pub(crate) fn set_reader(&self, is_reader: bool) -> bool {
         let is_change = self.is_reader.replace(is_reader) != is_reader;
--- a/kwg-gateway/src/control/instance_desk.rs
+++ b/kwg-gateway/src/control/instance_desk.rs
@@ -2,7 +2,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable, StoreWrite, WriteReply};
+use kwg_adapter::{
+    StoreCodec, StoreError, StoreReading, StoreRow, StoreTable, StoreWrite, WriteReply,
+};
 use kwg_peer::FleetAuthority;
 
 use super::control_hub::ControlHub;
@@ -58,6 +60,17 @@
         }
     }
 
+    /// Reads all rows again: those of instances that came later, or at the same time.
+    pub(crate) async fn look_again(&mut self) -> Option<Vec<FleetPeer>> {
+        match self.read().await {
+            Ok(reading) => Some(peers_in(&reading)),
+            Err(reason) => {
+                log::info!("event=look-failed reason=\"{reason}\"");
+                None
+            }
+        }
+    }
+
     /// Removes this instance's row. Others notice a missing instance anyway.
     pub(crate) async fn leave(&mut self) {
         let key = self.own_key();
@@ -79,14 +92,7 @@
             let row = |key: &str| reading.rows.iter().find(|row| row.key == key);
             let authority = row(AUTHORITY_KEY).and_then(|row| row.value.as_deref());
             if let Some(authority) = authority.and_then(decode_authority) {
-                let peers = reading.rows.iter().filter_map(|row| {
-                    let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
-                    let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
-                    let (address, domain) = text.split_once(' ')?;
-                    let (name, domain) = (name.to_owned(), domain.to_owned());
-                    Some(FleetPeer { name, address: address.parse().ok()?, domain })
-                });
-                return Ok(FleetReading { authority, peers: peers.collect() });
+                return Ok(FleetReading { authority, peers: peers_in(&reading) });
             }
             // The first instance to come makes the authority; the others find it.
             let fresh = FleetAuthority::generate().map_err(|error| error.to_string())?;
@@ -120,6 +126,17 @@
     }
 }
 
+fn peers_in(reading: &StoreReading) -> Vec<FleetPeer> {
+    let peer = |row: &StoreRow| {
+        let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
+        let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
+        let (address, domain) = text.split_once(' ')?;
+        let (name, domain) = (name.to_owned(), domain.to_owned());
+        Some(FleetPeer { name, address: address.parse().ok()?, domain })
+    };
+    reading.rows.iter().filter_map(peer).collect()
+}
+
 fn decode_authority(value: &[u8]) -> Option<FleetAuthority> {
     let text = std::str::from_utf8(value).ok()?;
     let (certificate, key) = text.split_once(PEM_BREAK)?;
--- a/kwg-gateway/src/control/peer_desk.rs
+++ b/kwg-gateway/src/control/peer_desk.rs
@@ -1,10 +1,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender, unbounded};
+use async_channel::{Receiver, RecvError, Sender, bounded, unbounded};
 use async_executor::Executor;
 use futures_lite::FutureExt;
 use kwg_adapter::StoreRow;
@@ -16,7 +17,7 @@
 use rand::random;
 
 use super::control_hub::{ControlHub, TableChanges, table_name};
-use super::instance_desk::InstanceDesk;
+use super::instance_desk::{FleetPeer, InstanceDesk};
 use super::table_mirror::TableMirror;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_pipes::{OwnDigest, TrafficInput};
@@ -25,6 +26,10 @@
 const AHEAD_LIMIT: Duration = Duration::from_millis(500);
 /// Pause between two questions of that kind.
 const PULL_PAUSE: Duration = Duration::from_millis(600);
+/// When the instances' rows are read again after the start.
+const FIRST_LOOK: Duration = Duration::from_millis(1_500);
+/// How often they are read where it matters.
+const LOOK_INTERVAL: Duration = Duration::from_secs(10);
 /// How often a failure domain's sum goes to the others: their targets are a second choice.
 const SUM_INTERVAL: Duration = Duration::from_millis(500);
 /// Prefix under which a domain's sum is counted beside single peers.
@@ -73,6 +78,7 @@
     Arrival(InstanceName, GateNotice),
     Digest(GateDigest),
     Changes(TableChanges),
+    Found(Vec<FleetPeer>),
 }
 
 impl PeerDesk {
@@ -98,7 +104,8 @@
         digests: Receiver<OwnDigest>,
         changes: Receiver<TableChanges>,
     ) {
-        let fleet = InstanceDesk::new(&self.hub).join().await;
+        let mut instances = InstanceDesk::new(&self.hub);
+        let fleet = instances.join().await;
         let (arrivals, arriving) = unbounded();
         let own = self.hub.settings.name.clone();
         let identity = fleet.authority.issue(own.as_str()).map_err(|error| error.to_string());
@@ -125,21 +132,26 @@
             Err(error) => return log::error!("event=peers-unavailable reason=\"{error}\""),
         }
         self.commands = commands;
-        let now = self.hub.clock.now();
-        for peer in &fleet.peers {
-            self.roster.note(&peer.name, peer.address, &peer.domain, now);
-        }
-        log::info!("event=joined peers={}", self.roster.addresses().count());
-        self.publish_addresses();
+        self.note_peers(&fleet.peers);
+        let (found, finding) = bounded(1);
+        let hub = Rc::clone(&self.hub);
+        let mut looking = pin!(look_for_instances(hub, instances, found));
         loop {
+            let look = async {
+                // It ends with the process only.
+                looking.as_mut().await;
+                Err(RecvError)
+            };
+            let seen = async { finding.recv().await.map(DeskEvent::Found) };
             let arrival = async {
                 arriving.recv().await.map(|(from, notice)| DeskEvent::Arrival(from, notice))
             };
             let digest =
                 async { digests.recv().await.map(|OwnDigest(digest)| DeskEvent::Digest(digest)) };
             let change = async { changes.recv().await.map(DeskEvent::Changes) };
-            match change.or(arrival).or(digest).await {
+            match change.or(arrival).or(digest).or(seen).or(look).await {
                 Ok(DeskEvent::Changes(changes)) => self.pass_on(&changes),
+                Ok(DeskEvent::Found(peers)) => self.note_peers(&peers),
                 Ok(DeskEvent::Arrival(from, notice)) => self.take(from, notice),
                 Ok(DeskEvent::Digest(digest)) => self.tell(digest),
                 Err(_) => return,
@@ -147,6 +159,22 @@
         }
     }
 
+    /// Notes instances that have rows in the store. Those that are known keep their times.
+    fn note_peers(&mut self, peers: &[FleetPeer]) {
+        let now = self.hub.clock.now();
+        let mut count = 0;
+        for peer in peers {
+            let known: Option<SocketAddr> =
+                self.roster.addresses().find(|(name, _)| *name == peer.name).map(|(_, at)| at);
+            if known != Some(peer.address) {
+                self.roster.note(&peer.name, peer.address, &peer.domain, now);
+                count += 1;
+            }
+        }
+        log::info!("event=instances-read rows={} news={count}", peers.len());
+        self.publish_addresses();
+    }
+
     /// Sends a digest to the neighbours, and the domain's sum to the other domains.
     fn tell(&mut self, digest: GateDigest) {
         let now = self.hub.clock.now();
@@ -176,6 +204,7 @@
             log::info!("event=fleet-size instances={size}");
             self.hub.tell_traffic(TrafficInput::FleetSize(size));
         }
+        self.hub.set_speaker(self.roster.is_speaker(now));
         if self.hub.set_reader(self.roster.is_reader(now)) {
             self.nudges.values().for_each(wake);
         }
@@ -300,6 +329,27 @@
     }
 }
 
+/// Reads the instances' rows again: once soon after the start, when all have written theirs, and
+/// from time to time where this instance speaks for its domain.
+async fn look_for_instances(
+    hub: Rc<ControlHub>,
+    mut desk: InstanceDesk,
+    found: Sender<Vec<FleetPeer>>,
+) {
+    hub.clock.sleep(FIRST_LOOK).await;
+    loop {
+        if let Some(peers) = desk.look_again().await
+            && found.send(peers).await.is_err()
+        {
+            return;
+        }
+        hub.clock.sleep(LOOK_INTERVAL).await;
+        while !hub.is_speaker() {
+            hub.clock.sleep(LOOK_INTERVAL).await;
+        }
+    }
+}
+
 fn wake(nudge: &Sender<()>) {
     if nudge.try_send(()).is_err() {
         log::debug!("event=feed-already-nudged");
