--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -224,3 +224,27 @@
     let text = call_at(fleet.gateway.metrics, question).text();
     assert!(text.contains("kwg_gateway_attempts_total{name=\"answered\"} 1"), "{text}");
 }
+
+#[test]
+fn a_version_move_is_answered_in_the_store() {
+    let fleet = TestFleet::start("move", 2);
+    let mut newer = entry(&fleet.runners[1], "ready");
+    newer["version"] = "v2".into();
+    fleet.store.put("servers", "i-1", Some(newer.to_string().as_bytes()));
+    let order = br#"{"service":"llm","to":"v2","durationS":4}"#;
+    fleet.store.put("op", "rollout/llm", Some(order));
+    let state = || {
+        let row = fleet.store.get("status", "rollout/llm")?;
+        let status: serde_json::Value = serde_json::from_slice(&row).expect("a status");
+        assert_eq!(status["to"], "v2");
+        Some(status["state"].as_str().expect("a text").to_owned())
+    };
+    wait_until("running", || state().as_deref() == Some("running"));
+    wait_until("completed", || {
+        assert_eq!(fleet.call(&request("GET", "/scan/a", "r")).status, 200);
+        state().as_deref() == Some("completed")
+    });
+    let before = fleet.runners[0].seen().len();
+    (0..10).for_each(|_| assert_eq!(fleet.call(&request("GET", "/scan/a", "r")).status, 200));
+    assert_eq!(fleet.runners[0].seen().len(), before, "the old version gets nothing");
+}
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -4,12 +4,11 @@
 use kwg_model::MonoTime;
 
 use crate::session::RoutePlan;
-use crate::target::VersionFilter;
 use crate::{
     AccountUsage, AttemptEvidence, AttemptRight, AttemptSample, FinalWord, FleetView, GateDigest,
-    GateOptions, PeerBook, PlaceDecision, PlaceQuery, Placement, QuotaBook, RefusalReason,
-    RequestFacts, RetryBudget, RouteMatch, RouteRule, RouteTable, SuspectBook, TargetBook,
-    TargetKey, TargetRegistry, UnknownReason, WaitingList,
+    GateOptions, MoveBook, MoveDecision, MovePhase, PeerBook, PlaceDecision, PlaceQuery, Placement,
+    QuotaBook, RefusalReason, RequestFacts, RetryBudget, RouteMatch, RouteRule, RouteTable,
+    SuspectBook, TargetBook, TargetKey, TargetRegistry, UnknownReason, VersionOrder, WaitingList,
 };
 
 /// When a caller that was refused for want of room should come back: bursts last seconds, and a
@@ -37,6 +36,7 @@
     peers: PeerBook,
     waiting: WaitingList,
     fleet_size: u32,
+    moves: MoveBook,
 }
 
 /// What becomes of an admitted request.
@@ -64,6 +64,7 @@
             peers: PeerBook::default(),
             waiting: WaitingList::default(),
             fleet_size: ASSUMED_FLEET,
+            moves: MoveBook::default(),
             options,
         }
     }
@@ -120,6 +121,9 @@
         for usage in &digest.accounts {
             self.quotas.take_usage(peer, digest.run, &usage.label, usage.used, now);
         }
+        for report in &digest.moves {
+            self.moves.take_report(peer, report, now);
+        }
         for (fingerprint, breaks) in &digest.suspects {
             self.suspects.take_report(*fingerprint, *breaks, now);
         }
@@ -134,7 +138,7 @@
 
     /// What this instance tells its peers.
     #[must_use]
-    pub fn digest(&self, run: u64) -> GateDigest {
+    pub fn digest(&self, run: u64, now: MonoTime) -> GateDigest {
         let usage = |(label, used): (&crate::AccountLabel, u64)| AccountUsage {
             label: label.clone(),
             used,
@@ -151,6 +155,7 @@
             accounts: self.quotas.used().map(usage).collect(),
             targets: self.targets.reports(),
             waiting: self.waiting.counts().map(count).collect(),
+            moves: self.moves.reports(now),
             suspects: self.suspects.counts().collect(),
         }
     }
@@ -218,9 +223,16 @@
             gap_target: plan.gap_target,
             contenders: self.peers.contenders(plan.service.as_str()),
             tried: &plan.tried,
-            version: VersionFilter::Any,
+            version: self.moves.filter(plan.service.as_str(), draw_for_version(draw), now),
         };
-        let word = match self.targets.place(&query, now, draw) {
+        let mut decision = self.targets.place(&query, now, draw);
+        if decision == PlaceDecision::NoTarget
+            && self.moves.may_fall_back(plan.service.as_str())
+            && let Some(version) = query.version.fallback()
+        {
+            decision = self.targets.place(&PlaceQuery { version, ..query }, now, draw);
+        }
+        let word = match decision {
             _ if now >= plan.due => FinalWord::refused(RefusalReason::TimedOut),
             PlaceDecision::Send(placement) => return PlaceStep::Send(placement),
             PlaceDecision::NoTarget => {
@@ -307,10 +319,30 @@
             }
             _ => self.targets.note_failure(target, now),
         }
+        if !matches!(evidence, AttemptEvidence::Declined | AttemptEvidence::TimedOut) {
+            self.count_for_move(target, None);
+        }
     }
 
     pub(crate) fn note_answer(&mut self, target: TargetKey, sample: &AttemptSample, now: MonoTime) {
         self.targets.note_success(target, sample, now);
+        self.count_for_move(target, Some(sample.hold));
+    }
+
+    fn count_for_move(&mut self, target: TargetKey, hold: Option<Duration>) {
+        if let Some(entry) = self.targets.entry(target) {
+            self.moves.note_answer(entry.service.as_str(), &entry.version, hold);
+        }
+    }
+
+    /// Takes an order of a version move, and the phase that its status names.
+    pub fn take_order(&mut self, order: &VersionOrder, phase: Option<MovePhase>, now: MonoTime) {
+        self.moves.take_order(order, phase, now);
+    }
+
+    /// Decides which version moves have reached a phase.
+    pub fn decide_moves(&mut self, now: MonoTime) -> Vec<MoveDecision> {
+        self.moves.decide(now)
     }
 
     /// Gives back the quota of a request that has not run.
@@ -336,6 +368,11 @@
     }
 }
 
+/// A draw that does not depend on the one that chooses the target.
+fn draw_for_version(draw: f64) -> f64 {
+    (draw * 104_729.0).fract()
+}
+
 fn units_of(facts: &RequestFacts, quota: &crate::QuotaRule) -> u64 {
     match (quota.counts_tokens, facts.tokens) {
         (true, Some(tokens)) => tokens.prompt + tokens.output,
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -9,6 +9,7 @@
 mod gate_core;
 mod gate_options;
 mod limit;
+mod moves;
 mod peer;
 mod registry;
 mod session;
@@ -22,6 +23,7 @@
     FleetView, QuotaBook, QuotaOptions, RetryBudget, RetryBudgetOptions, SuspectBook, WaitTicket,
     WaitingList,
 };
+pub use moves::{MoveBook, MoveDecision, MovePhase, MoveReport, VersionOrder, VersionTally};
 pub use peer::{AccountUsage, FleetRoster, GateDigest, PeerBook, TargetReport};
 pub use registry::{DomainMap, LoadDistance, TargetEntry, TargetRegistry};
 pub use session::{
--- /dev/null
+++ b/kwg-gate/src/moves/move_report.rs
@@ -0,0 +1,77 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::MovePhase;
+use crate::ServiceName;
+
+/// What an instance knows of a move.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveReport {
+    /// The service.
+    pub service: ServiceName,
+    /// The revision of the order.
+    pub revision: u64,
+    /// How far the move has come.
+    pub phase: MovePhase,
+    /// Time since the order, in milliseconds.
+    pub elapsed_ms: u32,
+    /// What the new version has answered.
+    pub new: VersionTally,
+    /// What the others have answered meanwhile.
+    pub old: VersionTally,
+}
+
+impl MoveReport {
+    /// Adds what another instance knows of the same move.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.phase = self.phase.max(other.phase);
+        self.elapsed_ms = self.elapsed_ms.max(other.elapsed_ms);
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+}
+
+/// Answers of one version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionTally {
+    /// Good answers.
+    pub good: u32,
+    /// Failures.
+    pub bad: u32,
+    /// The time that the good ones took, in milliseconds.
+    pub hold_ms: u64,
+}
+
+impl VersionTally {
+    /// Adds another tally.
+    pub fn add(&mut self, other: &Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+        self.hold_ms += other.hold_ms;
+    }
+
+    /// Counts an answer.
+    pub fn note_good(&mut self, hold: Duration) {
+        self.good += 1;
+        self.hold_ms += u64::try_from(hold.as_millis()).unwrap_or(u64::MAX);
+    }
+
+    /// The mean time of a good answer, in milliseconds.
+    #[must_use]
+    pub fn mean_hold_ms(&self) -> f64 {
+        self.hold_ms as f64 / f64::from(self.good.max(1))
+    }
+
+    /// The share of failures.
+    #[must_use]
+    pub fn failure_share(&self) -> f64 {
+        f64::from(self.bad) / f64::from((self.good + self.bad).max(1))
+    }
+
+    /// All answers.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.good + self.bad
+    }
+}
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountLabel, ServiceName, TargetId};
+use crate::{AccountLabel, MoveReport, ServiceName, TargetId};
 
 /// What an instance tells its peers, several times a second. Every count only grows within a
 /// run, so a lost digest costs nothing but time.
@@ -22,6 +22,8 @@
     pub targets: Vec<(TargetId, TargetReport)>,
     /// Requests that wait there for room, by service.
     pub waiting: Vec<(ServiceName, u16)>,
+    /// The version moves that it knows of.
+    pub moves: Vec<MoveReport>,
     /// Requests whose runs were cut off there, and how often.
     pub suspects: Vec<(u64, u32)>,
 }
@@ -48,6 +50,15 @@
                 None => self.waiting.push((service.clone(), *count)),
             }
         }
+        for report in &other.moves {
+            let known = self.moves.iter_mut().find(|known| {
+                (&known.service, known.revision) == (&report.service, report.revision)
+            });
+            match known {
+                Some(known) => known.add(report),
+                None => self.moves.push(report.clone()),
+            }
+        }
         for (fingerprint, count) in &other.suspects {
             match self.suspects.iter_mut().find(|(known, _)| known == fingerprint) {
                 Some((_, known)) => *known += count,
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -77,6 +77,18 @@
     NoTarget,
 }
 
+impl<'a> VersionFilter<'a> {
+    /// The filter to use where this one leaves no target: a version that is not there yet, or
+    /// no longer.
+    pub(crate) fn fallback(self) -> Option<Self> {
+        match self {
+            Self::Any => None,
+            Self::Only(only) => Some(Self::Except(only)),
+            Self::Except(except) => Some(Self::Only(except)),
+        }
+    }
+}
+
 impl VersionFilter<'_> {
     pub(crate) fn admits(self, version: &str) -> bool {
         match self {
--- a/kwg-gateway/src/control/control_hub.rs
+++ b/kwg-gateway/src/control/control_hub.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use kwg_adapter::{ConfigDecoder, EntryDecoder, StoreRow};
+use kwg_adapter::{ConfigDecoder, EntryDecoder, OrderCodec, StoreRow};
 use kwg_clock::ClockHandle;
 use kwg_gate::{TargetEntry, TargetId, TargetRegistry};
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use kwg_wire::SharedTable;
 
+use super::move_desk::MoveTask;
 use super::table_mirror::TableMirror;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_pipes::TrafficInput;
@@ -29,6 +30,15 @@
     is_reader: Cell<bool>,
     is_speaker: Cell<bool>,
     changes: Sender<TableChanges>,
+    move_tasks: Sender<MoveTask>,
+}
+
+/// Where the control thread's tasks send what others do.
+#[derive(Debug)]
+pub(crate) struct ControlPipes {
+    pub(crate) traffic: Sender<TrafficInput>,
+    pub(crate) changes: Sender<TableChanges>,
+    pub(crate) move_tasks: Sender<MoveTask>,
 }
 
 /// Changes that the store has told, to be passed on.
@@ -46,22 +56,22 @@
         run: u64,
         clock: ClockHandle,
         metrics: GatewayMetrics,
-        traffic: Sender<TrafficInput>,
-        changes: Sender<TableChanges>,
+        pipes: ControlPipes,
     ) -> Self {
         Self {
             settings,
             run,
             clock,
             metrics,
-            traffic,
+            traffic: pipes.traffic,
             mirrors: RefCell::default(),
             registry: RefCell::default(),
             store_answers: RefCell::default(),
             table_version: Cell::new(0),
             is_reader: Cell::new(true),
             is_speaker: Cell::new(false),
-            changes,
+            changes: pipes.changes,
+            move_tasks: pipes.move_tasks,
         }
     }
 
@@ -211,16 +221,38 @@
         }
     }
 
+    /// Gives the move desk something to do.
+    pub(crate) fn plan_move(&self, task: MoveTask) {
+        if self.move_tasks.try_send(task).is_err() {
+            self.metrics.note_dropped("move-task");
+        }
+    }
+
+    fn take_move(&self, value: &[u8], revision: u64) {
+        match OrderCodec::decode(value, revision) {
+            Ok(order) => {
+                self.tell_traffic(TrafficInput::Order(order.clone(), None));
+                self.plan_move(MoveTask::Ordered(order));
+            }
+            Err(error) => {
+                log::error!("event=order-unreadable revision={revision} error=\"{error}\"")
+            }
+        }
+    }
+
     fn publish_registry(&self) {
         let registry = Arc::new(self.registry.borrow().clone());
         self.tell_traffic(TrafficInput::Registry(registry));
     }
 
     fn take_order(&self, row: &StoreRow) {
-        let Some(value) = row.value.as_deref().filter(|_| ConfigDecoder::is_config(&row.key))
-        else {
+        let Some(value) = row.value.as_deref() else { return };
+        if OrderCodec::is_order(&row.key) {
+            return self.take_move(value, row.revision);
+        }
+        if !ConfigDecoder::is_config(&row.key) {
             return;
-        };
+        }
         match ConfigDecoder::decode(value) {
             Ok(table) if table.version() >= self.table_version.get() => {
                 self.table_version.set(table.version());
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender, bounded};
+use async_channel::{Receiver, Sender, bounded, unbounded};
 use async_executor::{Executor, LocalExecutor};
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
@@ -12,9 +12,10 @@
 use kwg_settings::GatewaySettings;
 use kwg_wire::SharedTable;
 
-use super::control_hub::ControlHub;
+use super::control_hub::{ControlHub, ControlPipes};
 use super::instance_desk::InstanceDesk;
 use super::metrics_server::serve_metrics;
+use super::move_desk::MoveDesk;
 use super::peer_desk::PeerDesk;
 use super::table_feed::TableFeed;
 use crate::gateway_metrics::GatewayMetrics;
@@ -45,8 +46,9 @@
     pub(crate) fn run(self) {
         let (settings, clock) = (self.settings, self.clock);
         let (changes, changed) = bounded(CHANGES_WAITING);
-        let hub =
-            ControlHub::new(settings, self.run, clock, self.metrics.clone(), self.traffic, changes);
+        let (move_tasks, tasks) = unbounded();
+        let pipes = ControlPipes { traffic: self.traffic, changes, move_tasks };
+        let hub = ControlHub::new(settings, self.run, clock, self.metrics.clone(), pipes);
         let hub = Rc::new(hub);
         let (local, shared) = (LocalExecutor::new(), Arc::new(Executor::new()));
         let mut nudges = HashMap::new();
@@ -55,6 +57,7 @@
             nudges.insert(table, nudge);
             local.spawn(TableFeed::new(&hub, table, nudged).run()).detach();
         }
+        local.spawn(MoveDesk::new(&hub).run(tasks)).detach();
         match Async::new(self.listener) {
             Ok(listener) => local.spawn(serve_metrics(listener, self.metrics)).detach(),
             Err(error) => log::error!("event=listen-failed error=\"{error}\""),
--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod control_thread;
 mod instance_desk;
 mod metrics_server;
+mod move_desk;
 mod peer_desk;
 mod store_link;
 mod table_feed;
--- a/kwg-gateway/src/control/peer_desk.rs
+++ b/kwg-gateway/src/control/peer_desk.rs
@@ -18,6 +18,7 @@
 
 use super::control_hub::{ControlHub, TableChanges, table_name};
 use super::instance_desk::{FleetPeer, InstanceDesk};
+use super::move_desk::MoveTask;
 use super::table_mirror::TableMirror;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_pipes::{OwnDigest, TrafficInput};
@@ -76,7 +77,7 @@
 /// What the desk waits for.
 enum DeskEvent {
     Arrival(InstanceName, GateNotice),
-    Digest(GateDigest),
+    Digest(OwnDigest),
     Changes(TableChanges),
     Found(Vec<FleetPeer>),
 }
@@ -146,14 +147,18 @@
             let arrival = async {
                 arriving.recv().await.map(|(from, notice)| DeskEvent::Arrival(from, notice))
             };
-            let digest =
-                async { digests.recv().await.map(|OwnDigest(digest)| DeskEvent::Digest(digest)) };
+            let digest = async { digests.recv().await.map(DeskEvent::Digest) };
             let change = async { changes.recv().await.map(DeskEvent::Changes) };
             match change.or(arrival).or(digest).or(seen).or(look).await {
                 Ok(DeskEvent::Changes(changes)) => self.pass_on(&changes),
                 Ok(DeskEvent::Found(peers)) => self.note_peers(&peers),
                 Ok(DeskEvent::Arrival(from, notice)) => self.take(from, notice),
-                Ok(DeskEvent::Digest(digest)) => self.tell(digest),
+                Ok(DeskEvent::Digest(own)) => {
+                    own.decisions
+                        .into_iter()
+                        .for_each(|decision| self.hub.plan_move(MoveTask::Decided(decision)));
+                    self.tell(own.digest);
+                }
                 Err(_) => return,
             }
         }
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender, bounded, unbounded};
-use kwg_gate::{GateDigest, RouteTable, TargetRegistry};
+use kwg_gate::{GateDigest, MoveDecision, MovePhase, RouteTable, TargetRegistry, VersionOrder};
 
 /// Digests that wait for the control thread; an old one is worth nothing.
 const DIGESTS_WAITING: usize = 4;
@@ -16,6 +16,8 @@
     Registry(Arc<TargetRegistry>),
     /// What a peer reports.
     Digest(String, Box<GateDigest>),
+    /// An order of a version move, and the phase that its status names.
+    Order(VersionOrder, Option<MovePhase>),
     /// How many instances there are.
     FleetSize(u32),
     /// Serve what is there, take no new work.
@@ -26,7 +28,11 @@
 
 /// What the traffic thread tells the control thread.
 #[derive(Debug, Clone)]
-pub(crate) struct OwnDigest(pub(crate) GateDigest);
+pub(crate) struct OwnDigest {
+    pub(crate) digest: GateDigest,
+    /// Phases of version moves that have been reached.
+    pub(crate) decisions: Vec<MoveDecision>,
+}
 
 /// The pipes between the threads.
 #[derive(Debug, Clone)]
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -96,6 +96,7 @@
                 drop(core);
                 call_waiting(hub);
             }
+            TrafficInput::Order(order, phase) => core.take_order(&order, phase, now),
             TrafficInput::FleetSize(size) => core.set_fleet_size(size),
             TrafficInput::Stop => {
                 hub.is_stopping.set(true);
@@ -134,7 +135,8 @@
         for peer in core.drop_silent_peers(now) {
             log::info!("event=peer-silent peer={peer}");
         }
-        let digest = OwnDigest(core.digest(run));
+        let decisions = core.decide_moves(now);
+        let digest = OwnDigest { digest: core.digest(run, now), decisions };
         if digests.try_send(digest).is_err() {
             hub.metrics.note_dropped("digest");
         }
