--- a/knapweedglade/src/command/check.rs
+++ b/knapweedglade/src/command/check.rs
@@ -1,4 +1,4 @@
-use kwg_settings::{RouterSettings, TableFiles};
+use kwg_settings::{GatewaySettings, RouterSettings, TableFiles};
 use snafu::ResultExt;
 
 use crate::arguments::Arguments;
@@ -7,10 +7,11 @@
 const HELP: &str = "\
 Check settings or tables; nothing is started and nothing is changed.
 
-USAGE: knapweedglade check [--settings FILE] [--routes FILE --pools FILE]
+USAGE: knapweedglade check [--settings FILE] [--gateway FILE] [--routes FILE --pools FILE]
 
 OPTIONS:
   --settings FILE   a router's settings
+  --gateway FILE    a gateway's settings
   --routes FILE     the route table
   --pools FILE      the pool table
 ";
@@ -21,6 +22,7 @@
         return Ok(());
     }
     let settings: Option<String> = arguments.optional("--settings")?;
+    let gateway: Option<String> = arguments.optional("--gateway")?;
     let routes: Option<String> = arguments.optional("--routes")?;
     let pools: Option<String> = arguments.optional("--pools")?;
     arguments.finish()?;
@@ -28,6 +30,10 @@
         let settings = RouterSettings::load(file).context(IniSnafu)?;
         println!("{file}: settings of router '{}' are valid", settings.name);
     }
+    if let Some(file) = &gateway {
+        let settings = GatewaySettings::load(file).context(IniSnafu)?;
+        println!("{file}: settings of gateway '{}' are valid", settings.name);
+    }
     match (routes, pools) {
         (Some(routes), Some(pools)) => {
             let tables = TableFiles::load(routes, pools).context(IniSnafu)?;
@@ -35,8 +41,10 @@
             println!("tables are valid: {routes} routes, {pools} pools");
             Ok(())
         }
-        (None, None) if settings.is_some() => Ok(()),
-        (None, None) => usage("nothing to check: give --settings, or --routes and --pools"),
+        (None, None) if settings.is_some() || gateway.is_some() => Ok(()),
+        (None, None) => {
+            usage("nothing to check: give --settings, or --routes and --pools")
+        }
         _ => usage("--routes and --pools are checked together"),
     }
 }
--- a/knapweedglade/src/command/gateway.rs
+++ b/knapweedglade/src/command/gateway.rs
@@ -29,9 +29,10 @@
     let named = variable.and_then(|name| std::env::var(name).ok());
     let reason = "neither --settings nor a set variable names the settings";
     let file = file.or(named).context(UsageSnafu { reason })?;
-    let settings = GatewaySettings::load(file).context(IniSnafu)?;
+    let settings = GatewaySettings::load(&file).context(IniSnafu)?;
     LogQueue::install(settings.log_level).context(LogSnafu)?;
-    let outcome = GatewayProcess::run(settings).context(GatewaySnafu)?;
+    let outcome =
+        GatewayProcess::run(settings, || GatewaySettings::load(&file)).context(GatewaySnafu)?;
     ensure!(outcome.drained, CutShortSnafu);
     Ok(())
 }
--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -248,3 +248,15 @@
     (0..10).for_each(|_| assert_eq!(fleet.call(&request("GET", "/scan/a", "r")).status, 200));
     assert_eq!(fleet.runners[0].seen().len(), before, "the old version gets nothing");
 }
+
+#[test]
+fn settings_that_turn_bad_stop_nothing() {
+    let fleet = TestFleet::start("reload", 1);
+    fleet.gateway.rewrite_settings(|text| text.replace("grace_s", "grace"));
+    fleet.gateway.signal("-HUP");
+    fleet.gateway.rewrite_settings(|text| text.replace("grace", "grace_s"));
+    fleet.gateway.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(fleet.call(&request("GET", "/scan/a", "r1")).status, 200);
+    assert_eq!(fleet.gateway.ready_status(), 200);
+}
--- a/knapweedglade/tests/support/mod.rs
+++ b/knapweedglade/tests/support/mod.rs
@@ -86,11 +86,21 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().expect("kill is there");
+        let status = Command::new("kill").args([name, &id]).status().expect("kill is there");
         assert!(status.success());
     }
 
+    pub fn rewrite_settings(&self, change: impl FnOnce(&str) -> String) {
+        let file = self.folder.join("gateway.ini");
+        let text = std::fs::read_to_string(&file).expect("it was written");
+        std::fs::write(&file, change(&text)).expect("writable");
+    }
+
     pub fn wait_exit(&mut self) -> Option<i32> {
         let deadline = Instant::now() + Duration::from_secs(12);
         loop {
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -108,6 +108,13 @@
         self.targets.sync(registry)
     }
 
+    /// Takes changed budgets and tolerances; what has been counted stays.
+    pub fn set_options(&mut self, options: GateOptions) {
+        self.budget.set_options(options.retry);
+        self.quotas.set_options(options.quota);
+        self.options = options;
+    }
+
     /// Takes the number of instances that are believed to exist, this one included.
     pub fn set_fleet_size(&mut self, size: u32) {
         self.fleet_size = size;
--- a/kwg-gate/src/limit/quota_book.rs
+++ b/kwg-gate/src/limit/quota_book.rs
@@ -95,6 +95,11 @@
         Self { options, buckets: HashMap::new() }
     }
 
+    /// Changes how far quotas may be exceeded.
+    pub fn set_options(&mut self, options: QuotaOptions) {
+        self.options = options;
+    }
+
     /// Takes `units` for a request, or says how long to wait.
     ///
     /// # Errors
--- a/kwg-gate/src/limit/retry_budget.rs
+++ b/kwg-gate/src/limit/retry_budget.rs
@@ -52,6 +52,11 @@
         Self { options, services: HashMap::new() }
     }
 
+    /// Changes what may be spent.
+    pub fn set_options(&mut self, options: RetryBudgetOptions) {
+        self.options = options;
+    }
+
     /// Counts a request.
     pub fn note_request(&mut self, service: &ServiceName, now: MonoTime) {
         self.slot(service, now).requests += 1;
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -2,7 +2,9 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender, bounded, unbounded};
-use kwg_gate::{GateDigest, MoveDecision, MovePhase, RouteTable, TargetRegistry, VersionOrder};
+use kwg_gate::{
+    GateDigest, GateOptions, MoveDecision, MovePhase, RouteTable, TargetRegistry, VersionOrder,
+};
 
 /// Digests that wait for the control thread; an old one is worth nothing.
 const DIGESTS_WAITING: usize = 4;
@@ -18,6 +20,8 @@
     Digest(String, Box<GateDigest>),
     /// An order of a version move, and the phase that its status names.
     Order(VersionOrder, Option<MovePhase>),
+    /// Budgets and tolerances that have changed.
+    Options(GateOptions),
     /// How many instances there are.
     FleetSize(u32),
     /// Serve what is there, take no new work.
--- a/kwg-gateway/src/gateway_process.rs
+++ b/kwg-gateway/src/gateway_process.rs
@@ -1,3 +1,4 @@
+use std::fmt::Display;
 use std::net::{SocketAddr, TcpListener};
 use std::thread::Builder;
 use std::time::Duration;
@@ -37,11 +38,15 @@
 }
 
 impl GatewayProcess {
-    /// Runs a gateway until SIGTERM or SIGINT, and until what it accepted has ended.
+    /// Runs a gateway until SIGTERM or SIGINT, and until what it accepted has ended. At SIGHUP
+    /// `reload` reads the settings anew; budgets and tolerances change, addresses do not.
     ///
     /// # Errors
     /// [`GatewayError`] if an address cannot be used: then nothing has been started.
-    pub fn run(settings: GatewaySettings) -> Result<GatewayOutcome, GatewayError> {
+    pub fn run<E: Display>(
+        settings: GatewaySettings,
+        reload: impl Fn() -> Result<GatewaySettings, E>,
+    ) -> Result<GatewayOutcome, GatewayError> {
         let run: u64 = random();
         let clock = ClockHandle::system();
         let addresses = ListenAddresses {
@@ -87,20 +92,26 @@
             done,
         };
         start("kwg-traffic", move || traffic.run())?;
+        let tell = |input: TrafficInput| {
+            if pipes.to_traffic.try_send(input).is_err() {
+                log::debug!("event=traffic-gone");
+            }
+        };
         block_on(async {
             while let Some(signal) = signals.next().await {
                 match signal {
-                    Ok(Signal::Hup) => log::info!("event=reload result=nothing-to-reload"),
+                    Ok(Signal::Hup) => match reload() {
+                        Ok(fresh) => {
+                            log::info!("event=reload result=taken");
+                            tell(TrafficInput::Options(fresh.gate));
+                        }
+                        Err(error) => log::error!("event=reload result=refused error=\"{error}\""),
+                    },
                     Ok(_) => break,
                     Err(error) => log::warn!("event=signal-failed error=\"{error}\""),
                 }
             }
         });
-        let tell = |input: TrafficInput| {
-            if pipes.to_traffic.try_send(input).is_err() {
-                log::debug!("event=traffic-gone");
-            }
-        };
         tell(TrafficInput::Stop);
         drop(stay);
         let drained = block_on(async {
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -97,6 +97,7 @@
                 call_waiting(hub);
             }
             TrafficInput::Order(order, phase) => core.take_order(&order, phase, now),
+            TrafficInput::Options(options) => core.set_options(options),
             TrafficInput::FleetSize(size) => core.set_fleet_size(size),
             TrafficInput::Stop => {
                 hub.is_stopping.set(true);
