--- a/knapweedglade/src/command/check.rs
+++ b/knapweedglade/src/command/check.rs
@@ -42,9 +42,7 @@
             Ok(())
         }
         (None, None) if settings.is_some() || gateway.is_some() => Ok(()),
-        (None, None) => {
-            usage("nothing to check: give --settings, or --routes and --pools")
-        }
+        (None, None) => usage("nothing to check: give --settings, or --routes and --pools"),
         _ => usage("--routes and --pools are checked together"),
     }
 }
