--- a/kwg-gate/src/limit/waiting_list.rs
+++ b/kwg-gate/src/limit/waiting_list.rs
@@ -49,13 +49,6 @@
         }
     }
 
-    /// Whether somebody of this rank or a more urgent one waits.
-    #[must_use]
-    pub fn has_rank(&self, service: &ServiceName, rank: u32) -> bool {
-        let first = self.services.get(service).and_then(BTreeSet::first);
-        first.is_some_and(|first| first.rank <= rank)
-    }
-
     /// How many wait for each service.
     pub fn counts(&self) -> impl Iterator<Item = (&ServiceName, usize)> {
         self.services.iter().map(|(service, waiting)| (service, waiting.len()))
