--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -6,8 +6,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use kwg_standin::{RunnerMode, StoreMode};
-use support::{TestFleet, call_at, config, entry, read_answer, request, wait_until};
+use kwg_standin::{RunnerMode, SampleFleet, StoreMode};
+use support::{TestFleet, call_at, read_answer, request, wait_until};
 
 const WHOLE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
     id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n";
@@ -151,7 +151,7 @@
 #[test]
 fn a_leaving_runner_gets_nothing_new_and_a_broken_entry_hides_no_other() {
     let fleet = TestFleet::start("leaving", 2);
-    let leaving = entry(&fleet.runners[0], "draining").to_string();
+    let leaving = SampleFleet::entry(&fleet.runners[0], "draining").to_string();
     fleet.store.put("servers", "i-9", Some(b"{ not json"));
     fleet.store.put("servers", "i-0", Some(leaving.as_bytes()));
     wait_until("the other runner gets everything", || {
@@ -165,12 +165,12 @@
 #[test]
 fn a_configuration_is_in_force_at_once_and_never_reverts() {
     let fleet = TestFleet::start("config", 1);
-    let mut next = config(5);
+    let mut next = SampleFleet::config(5);
     next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
     fleet.store.put("op", "config", Some(next.to_string().as_bytes()));
     let call = request("GET", "/scan/a", "r1");
     wait_until("the key is revoked", || fleet.call(&call).status == 401);
-    fleet.store.put("op", "config", Some(config(4).to_string().as_bytes()));
+    fleet.store.put("op", "config", Some(SampleFleet::config(4).to_string().as_bytes()));
     fleet.store.put("op", "config", Some(b"no configuration"));
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(fleet.call(&call).status, 401, "an older version changes nothing");
@@ -194,7 +194,7 @@
         assert_eq!(fleet.gateway.ready_status(), 200, "{mode:?}");
     }
     fleet.store.set_mode(StoreMode::Up);
-    let mut next = config(7);
+    let mut next = SampleFleet::config(7);
     next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
     fleet.store.put("op", "config", Some(next.to_string().as_bytes()));
     wait_until("changes arrive again", || fleet.call(&call).status == 401);
@@ -228,7 +228,7 @@
 #[test]
 fn a_version_move_is_answered_in_the_store() {
     let fleet = TestFleet::start("move", 2);
-    let mut newer = entry(&fleet.runners[1], "ready");
+    let mut newer = SampleFleet::entry(&fleet.runners[1], "ready");
     newer["version"] = "v2".into();
     fleet.store.put("servers", "i-1", Some(newer.to_string().as_bytes()));
     let order = br#"{"service":"llm","to":"v2","durationS":4}"#;
--- a/knapweedglade/tests/support/mod.rs
+++ b/knapweedglade/tests/support/mod.rs
@@ -10,8 +10,7 @@
 use std::time::{Duration, Instant};
 
 use kwg_h1::{BodyDecoder, ReplyHead};
-use kwg_standin::{RunnerStandin, StoreStandin};
-use serde_json::{Value, json};
+use kwg_standin::{RunnerStandin, SampleFleet, StoreStandin};
 
 /// Longest time for anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -116,17 +115,7 @@
 impl TestFleet {
     /// A store with the configuration, `count` runners of service `llm` and a ready gateway.
     pub fn start(name: &str, count: usize) -> Self {
-        let store = StoreStandin::start().expect("a port is free");
-        store.put("op", "config", Some(config(1).to_string().as_bytes()));
-        let runners: Vec<RunnerStandin> =
-            (0..count).map(|_| RunnerStandin::start().expect("a port is free")).collect();
-        for (number, runner) in runners.iter().enumerate() {
-            store.put(
-                "servers",
-                &format!("i-{number}"),
-                Some(entry(runner, "ready").to_string().as_bytes()),
-            );
-        }
+        let SampleFleet { store, runners } = SampleFleet::start(count).expect("ports are free");
         let gateway = GatewayChild::start(name, &store);
         gateway.wait_ready();
         Self { store, runners, gateway }
@@ -141,30 +130,6 @@
     }
 }
 
-/// A configuration: streams that may be resumed, streams that may not, requests that may be
-/// repeated and requests that may not.
-pub fn config(version: u64) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, resume: bool| {
-        json!({ "name": name, "host": "graz.example", "prefix": prefix, "kind": kind,
-            "timeoutMs": 3000, "targetLatencyMs": 400, "priority": 0, "service": "llm",
-            "maxAttempts": 2, "authExempt": false, "streamResume": resume, "gapAimMs": 300 })
-    };
-    json!({ "version": version,
-        "routes": [route("draft", "/stream/draft/", "streaming", true),
-            route("digest", "/stream/digest/", "streaming", false),
-            route("scan", "/scan/", "idempotent", false),
-            route("open", "/open/", "non_idempotent", false)],
-        "services": [{ "name": "llm", "healthPath": "/health", "maxConns": 100 }],
-        "limits": { "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 600,
-            "idleTimeoutMs": 15000 },
-        "tenants": [{ "name": "hule", "apiKeys": ["key-1", "key-2"] }] })
-}
-
-pub fn entry(runner: &RunnerStandin, state: &str) -> Value {
-    json!({ "service": "llm", "address": runner.address().to_string(), "zone": "graz",
-        "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": 1 })
-}
-
 /// A request with the usual fields.
 pub fn request(method: &str, path: &str, id: &str) -> String {
     format!(
--- a/kwg-standin/src/lib.rs
+++ b/kwg-standin/src/lib.rs
@@ -17,4 +17,4 @@
 pub use plain_service::ServiceStandin;
 pub use platform::PlatformStandin;
 pub use reference_answer::ReferenceAnswer;
-pub use wire::{RunnerMode, RunnerStandin, SeenRequest, StoreMode, StoreStandin};
+pub use wire::{RunnerMode, RunnerStandin, SampleFleet, SeenRequest, StoreMode, StoreStandin};
--- a/kwg-standin/src/main.rs
+++ b/kwg-standin/src/main.rs
@@ -9,7 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::block_on;
 use kwg_standin::{
-    CallPlan, CallResult, CallerAgent, EngineOptions, EngineStandin, PlatformStandin,
+    CallPlan, CallResult, CallerAgent, EngineOptions, EngineStandin, PlatformStandin, SampleFleet,
     ServiceStandin,
 };
 use kwg_telemetry::{EventRing, HybridClock, LogSink};
@@ -23,6 +23,7 @@
        kwg-standin engine   --address ADDRESS [--name NAME] [--version V] [--step-ms N]
                             [--no-fencing] [--log FILE]
        kwg-standin service  --address ADDRESS [--name NAME] [--delay-ms N] [--log FILE]
+       kwg-standin fleet    --runners N
        kwg-standin call     --routers A,B,.. --key KEY --route ROUTE [--count N]
                             [--tokens N] [--body TEXT] [--non-idempotent] [--service]
 ";
@@ -70,6 +71,7 @@
             let service = ServiceStandin::run(address, delay, events, Rc::clone(&executor));
             block_on(executor.run(service))
         }
+        Some("fleet") => return fleet(&mut arguments),
         Some("call") => return call(&mut arguments),
         _ => {
             print!("{HELP}");
@@ -92,6 +94,23 @@
     Ok(EventRing::new(HybridClock::default(), name, std::process::id().into()))
 }
 
+/// Starts a store and runners on the platform's wire, says where the store is, and stays.
+fn fleet(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let count = arguments.value_from_str("--runners")?;
+    match SampleFleet::start(count) {
+        Ok(fleet) => {
+            println!("{}", fleet.store.address());
+            loop {
+                std::thread::park();
+            }
+        }
+        Err(error) => {
+            eprintln!("kwg-standin: {error}");
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
+
 /// Makes requests one after the other and says how each ended.
 fn call(arguments: &mut Arguments) -> Result<ExitCode, Error> {
     let routers: String = arguments.value_from_str("--routers")?;
--- a/kwg-standin/src/wire.rs
+++ b/kwg-standin/src/wire.rs
@@ -1,8 +1,10 @@
 //! The platform's store and its runners on their wire, with the faults that tests ask for.
 
 mod runner_standin;
+mod sample_fleet;
 mod store_standin;
 mod wire_server;
 
 pub use runner_standin::{RunnerMode, RunnerStandin, SeenRequest};
+pub use sample_fleet::SampleFleet;
 pub use store_standin::{StoreMode, StoreStandin};
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -210,3 +210,45 @@
 echo "dispatched twice: $twice"
 echo "processes left: $left"
 [ "$sent" = "$whole" ] && [ "$twice" = 0 ] && [ "$left" = 0 ]
+
+echo
+echo "== two gateways on the platform's wire"
+start "$work/fleet.out" $standin fleet --runners 3
+for _ in $(seq 100); do
+    store=$(head -n 1 "$work/fleet.out" 2>/dev/null || true)
+    [ -n "$store" ] && break
+    sleep 0.05
+done
+for n in 1 2; do
+    cat >"$work/g$n.ini" <<INI
+[gateway]
+name = g$n
+domain = graz
+front = 127.0.0.1:$(port $((40 + n)))
+ready = 127.0.0.1:$(port $((50 + n)))
+metrics = 127.0.0.1:$(port $((60 + n)))
+peer = 127.0.0.1:$(port $((70 + n)))
+store = $store
+
+[domains]
+graz = ost
+INI
+    $kwg check --gateway "$work/g$n.ini" >/dev/null
+    start "$work/g$n.log" $kwg gateway --settings "$work/g$n.ini"
+done
+for n in 1 2; do
+    for _ in $(seq 100); do
+        curl -sf "http://127.0.0.1:$(port $((50 + n)))/knapweedglade/ready" >/dev/null && break
+        sleep 0.1
+    done
+    for path in stream/draft/a scan/a open/a; do
+        echo "-- gateway g$n, /$path"
+        curl -sf -X POST -d prompt -H "Host: graz.example" -H "Authorization: Token key-1" \
+            -H "X-Knapweedglade-Request-Id: demo-$n-$path" -H "X-Knapweedglade-Deadline-Ms: 3000" \
+            "http://127.0.0.1:$(port $((40 + n)))/$path"
+        echo
+    done
+done
+echo "== what the gateways logged of them"
+sleep 0.3
+grep -h "event=attempt-ended" "$work/g1.log" "$work/g2.log"
