--- a/kwg-clock/src/clock_handle.rs
+++ b/kwg-clock/src/clock_handle.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use kwg_model::MonoTime;
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::ManualClock;
 
@@ -23,15 +24,16 @@
 
 #[derive(Debug, Clone)]
 enum ClockSource {
-    System { start: Instant },
+    System { start: Duration },
     Manual(Arc<ManualClock>),
 }
 
 impl ClockHandle {
-    /// A clock that starts now and follows the system's monotonic clock.
+    /// A clock that starts now and follows the system's clock since boot: it never goes back,
+    /// and goes on while the machine is suspended, so that ages and deadlines stay true.
     #[must_use]
     pub fn system() -> Self {
-        Self(ClockSource::System { start: Instant::now() })
+        Self(ClockSource::System { start: system_time() })
     }
 
     /// A clock that a test advances.
@@ -44,7 +46,7 @@
     #[must_use]
     pub fn now(&self) -> MonoTime {
         match &self.0 {
-            ClockSource::System { start } => MonoTime::ZERO + start.elapsed(),
+            ClockSource::System { start } => MonoTime::ZERO + system_time().saturating_sub(*start),
             ClockSource::Manual(clock) => clock.now(),
         }
     }
@@ -65,3 +67,10 @@
         self.sleep_until(self.now() + span).await;
     }
 }
+
+/// Time since the machine's start, with the time that it was suspended.
+fn system_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender, bounded, unbounded};
@@ -56,11 +55,3 @@
         Self { to_traffic, from_control, to_control, from_traffic }
     }
 }
-
-/// Where the process listens.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ListenAddresses {
-    pub(crate) front: SocketAddr,
-    pub(crate) ready: SocketAddr,
-    pub(crate) metrics: SocketAddr,
-}
--- a/kwg-gateway/src/gateway_process.rs
+++ b/kwg-gateway/src/gateway_process.rs
@@ -17,7 +17,7 @@
 use crate::control::ControlThread;
 use crate::gateway_error::{ListenSnafu, SignalsSnafu, ThreadSnafu};
 use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_pipes::{GatewayPipes, ListenAddresses, TrafficInput};
+use crate::gateway_pipes::{GatewayPipes, TrafficInput};
 use crate::traffic::TrafficThread;
 
 /// How long callers are still taken after a stop: a balancer needs two misses, a second apart,
@@ -49,14 +49,9 @@
     ) -> Result<GatewayOutcome, GatewayError> {
         let run: u64 = random();
         let clock = ClockHandle::system();
-        let addresses = ListenAddresses {
-            front: settings.front,
-            ready: settings.ready,
-            metrics: settings.metrics,
-        };
-        let front = listen(addresses.front, "callers")?;
-        let ready = listen(addresses.ready, "readiness")?;
-        let listener = listen(addresses.metrics, "metrics")?;
+        let front = listen(settings.front, "callers")?;
+        let ready = listen(settings.ready, "readiness")?;
+        let listener = listen(settings.metrics, "metrics")?;
         let signals = [Signal::Term, Signal::Int, Signal::Hup];
         let mut signals = Signals::new(signals).context(SignalsSnafu)?;
         let metrics = GatewayMetrics::new();
@@ -66,7 +61,7 @@
         let started = EventLine::new("started").field("instance", &settings.name);
         log::info!(
             "{}",
-            started.field("run", format!("{run:016x}")).field("front", addresses.front)
+            started.field("run", format!("{run:016x}")).field("front", settings.front)
         );
         let grace = settings.grace;
         let control = ControlThread {
