--- /dev/null
+++ b/kwg-gate/tests/roster.rs
@@ -0,0 +1,71 @@
+//! Who speaks with whom, who speaks for a failure domain, and who asks the store.
+
+use std::time::Duration;
+
+use kwg_gate::{FleetRoster, GateDigest};
+use kwg_model::MonoTime;
+
+fn address(number: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], 1_000 + number))
+}
+
+/// The roster of an instance of domain `a` in a fleet of `each` instances in each of three domains.
+fn roster(own: &str, each: u16, now: MonoTime) -> FleetRoster {
+    let mut roster = FleetRoster::new(own, "a");
+    for domain in ["a", "b", "c"] {
+        for number in 0..each {
+            let name = format!("{domain}-{number:02}");
+            roster.note(&name, address(number), domain, now);
+            let digest = GateDigest { store_answers: true, members: 1, ..GateDigest::default() };
+            roster.keep_digest(&name, &digest);
+        }
+    }
+    roster
+}
+
+#[test]
+fn a_small_fleet_speaks_all_with_all() {
+    let now = MonoTime::from_millis(1);
+    let roster = roster("a-00", 3, now);
+    assert!(roster.is_mesh());
+    assert_eq!(roster.neighbours(now).count(), 8);
+    assert!(roster.is_reader(now) && !roster.is_speaker(now));
+}
+
+#[test]
+fn a_large_fleet_speaks_within_domains_and_a_dead_speaker_is_replaced() {
+    let now = MonoTime::from_millis(1);
+    let first = roster("a-00", 10, now);
+    assert_eq!(first.neighbours(now).count(), 9);
+    assert_eq!(first.contacts(0.5, now).len(), 2, "one in each other domain");
+    assert!(first.is_speaker(now));
+    let mut second = roster("a-01", 10, now);
+    assert!(!second.is_speaker(now));
+    let later = now + Duration::from_millis(1_500);
+    for number in 2..10 {
+        second.note(&format!("a-{number:02}"), address(number), "a", later);
+    }
+    assert!(second.is_speaker(later), "the first one is silent");
+    assert_eq!(second.size(later), 30, "a silent one may still be serving");
+}
+
+#[test]
+fn two_of_a_domain_ask_the_store_and_others_step_in() {
+    let now = MonoTime::from_millis(1);
+    let reads = |own: &str, now| roster(own, 10, MonoTime::from_millis(1)).is_reader(now);
+    assert!(reads("a-00", now) && reads("a-01", now) && !reads("a-02", now));
+    let mut third = roster("a-02", 10, now);
+    third.keep_digest("a-00", &GateDigest::default());
+    assert!(third.is_reader(now), "the store does not answer the first one");
+}
+
+#[test]
+fn a_domains_sum_is_taken_once_and_from_one_speaker_at_a_time() {
+    let now = MonoTime::from_millis(1);
+    let mut roster = roster("a-00", 10, now);
+    assert!(roster.take_sum("b", 7, 1, now));
+    assert!(!roster.take_sum("b", 7, 1, now), "known");
+    assert!(!roster.take_sum("b", 8, 9, now), "the old speaker is still there");
+    assert!(roster.take_sum("b", 8, 10, now + Duration::from_millis(1_500)));
+    assert!(!roster.take_sum("a", 7, 1, now), "the own domain");
+}
--- /dev/null
+++ b/kwg-gate/tests/targets.rs
@@ -0,0 +1,136 @@
+//! The choice of targets: by predicted time, load, health and distance.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kwg_gate::{
+    AttemptSample, DomainMap, PlaceDecision, PlaceQuery, ServiceName, TargetBook, TargetEntry,
+    TargetId, TargetKey, TargetRegistry, VersionFilter,
+};
+use kwg_model::MonoTime;
+
+const SLOTS: u32 = 4;
+
+fn book(targets: &[(&str, &str)]) -> TargetBook {
+    let regions = [("graz", "ost"), ("wien", "ost"), ("ibk", "west")];
+    let regions: HashMap<_, _> = regions
+        .into_iter()
+        .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
+        .collect();
+    let mut registry = TargetRegistry::default();
+    let entry = |(id, domain): &(&str, &str)| TargetEntry {
+        id: TargetId::new(id),
+        service: ServiceName::new("llm"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: (*domain).to_owned(),
+        version: "v1".to_owned(),
+        slots: SLOTS,
+        is_draining: false,
+        born: 1,
+    };
+    registry.replace(1, targets.iter().map(entry), MonoTime::ZERO);
+    let mut book = TargetBook::new(DomainMap { own: "graz".to_owned(), regions });
+    book.sync(&registry);
+    book
+}
+
+fn query<'a>(tried: &'a [TargetKey], contenders: u32) -> PlaceQuery<'a> {
+    PlaceQuery {
+        service: "llm",
+        prompt_tokens: 1_000,
+        on_engine: true,
+        target_latency: Duration::from_millis(400),
+        gap_target: Some(Duration::from_millis(300)),
+        contenders,
+        tried,
+        version: VersionFilter::Any,
+    }
+}
+
+fn send(book: &TargetBook, tried: &[TargetKey], draw: f64) -> Option<TargetKey> {
+    match book.place(&query(tried, 0), MonoTime::from_millis(1), draw) {
+        PlaceDecision::Send(placement) => Some(placement.target),
+        _ => None,
+    }
+}
+
+fn name(book: &TargetBook, key: TargetKey) -> String {
+    book.entry(key).expect("known").id.to_string()
+}
+
+#[test]
+fn an_idle_target_nearby_is_chosen_and_no_full_one() {
+    let mut book = book(&[("far", "ibk"), ("near", "graz"), ("beside", "wien")]);
+    let mut order = Vec::new();
+    while let Some(key) = send(&book, &[], 0.3) {
+        book.begin(key, 1_000);
+        order.push(name(&book, key));
+    }
+    assert_eq!(order[0], "near");
+    assert_eq!(order.len(), 3 * SLOTS as usize, "every place and not one more");
+}
+
+#[test]
+fn a_tried_target_is_not_tried_again() {
+    let book = book(&[("a", "graz"), ("b", "graz")]);
+    let first = send(&book, &[], 0.3).expect("room");
+    let second = send(&book, &[first], 0.3).expect("room");
+    assert_ne!(first, second);
+    let none = book.place(&query(&[first, second], 0), MonoTime::ZERO, 0.3);
+    assert_eq!(none, PlaceDecision::NoTarget);
+}
+
+#[test]
+fn a_target_that_fails_gets_less_and_comes_back_after_it_recovers() {
+    let mut book = book(&[("a", "graz"), ("b", "graz")]);
+    let bad = send(&book, &[], 0.3).expect("room");
+    let fail = |book: &mut TargetBook, millis| {
+        book.begin(bad, 0);
+        book.end(bad);
+        book.note_failure(bad, MonoTime::from_millis(millis));
+    };
+    (0..3).for_each(|number| fail(&mut book, number));
+    let after = |book: &TargetBook, millis: u64| {
+        (0..20)
+            .filter(|draw| {
+                let decision = book.place(
+                    &query(&[], 0),
+                    MonoTime::from_millis(millis),
+                    f64::from(*draw) / 20.0,
+                );
+                matches!(decision, PlaceDecision::Send(placement) if placement.target == bad)
+            })
+            .count()
+    };
+    assert_eq!(after(&book, 10), 0, "paused");
+    book.begin(bad, 0);
+    book.note_success(bad, &AttemptSample::default(), MonoTime::from_millis(5_000));
+    book.end(bad);
+    assert!(after(&book, 30_000) > 0, "failures are forgotten");
+}
+
+#[test]
+fn contenders_do_not_all_take_the_same_free_place() {
+    let mut book = book(&[("a", "graz")]);
+    let only = send(&book, &[], 0.3).expect("room");
+    (1..SLOTS).for_each(|_| book.begin(only, 0));
+    let takers = (0..200).filter(|draw| {
+        let decision = book.place(&query(&[], 8), MonoTime::ZERO, f64::from(*draw) / 200.0);
+        matches!(decision, PlaceDecision::Send(_))
+    });
+    let takers = takers.count();
+    assert!((5..60).contains(&takers), "about one in nine: {takers} of 200");
+}
+
+#[test]
+fn a_new_run_under_an_old_name_starts_without_the_old_ones_record() {
+    let mut book = book(&[("a", "graz")]);
+    let before = send(&book, &[], 0.3).expect("room");
+    let mut entry = book.entry(before).expect("known").clone();
+    entry.born = 2;
+    let mut registry = TargetRegistry::default();
+    registry.replace(2, [entry], MonoTime::ZERO);
+    book.sync(&registry);
+    assert!(book.entry(before).is_none());
+    assert!(send(&book, &[], 0.3).is_some());
+}
