test(knapweedglade): the metrics test waits for the count

Trace: an attempt is counted when its pipeline ends, after the last byte went to the caller, who asks another thread. No promise says that the count comes first. The check is the same; it may take as long as any other wait.

--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -221,8 +221,11 @@
     let fleet = TestFleet::start("metrics", 1);
     assert_eq!(fleet.call(&request("GET", "/scan/a", "r1")).status, 200);
     let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
-    let text = call_at(fleet.gateway.metrics, question).text();
-    assert!(text.contains("kwg_gateway_attempts_total{name=\"answered\"} 1"), "{text}");
+    // The count follows the answer: the caller may be faster than the thread that counts.
+    wait_until("the answer is counted", || {
+        let text = call_at(fleet.gateway.metrics, question).text();
+        text.contains("kwg_gateway_attempts_total{name=\"answered\"} 1")
+    });
 }
 
 #[test]
