refactor: one accept loop, dead accessors out, a digest's revisions set where they are known

GateCore put revisions of the store's tables into each digest, which the control thread always replaced; its own count of them is gone, with three accessors that nobody called. FrontServer and ReadyServer share socket/accept_each.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -25,9 +25,7 @@
 /// The state behind all decisions of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct GateCore {
-    options: GateOptions,
     table: Option<Arc<RouteTable>>,
-    orders_revision: u64,
     registry: Arc<TargetRegistry>,
     targets: TargetBook,
     quotas: QuotaBook,
@@ -57,7 +55,6 @@
             targets: TargetBook::new(options.domains.clone()),
             budget: RetryBudget::new(options.retry),
             table: None,
-            orders_revision: 0,
             registry: Arc::default(),
             quotas: QuotaBook::new(options.quota),
             suspects: SuspectBook::default(),
@@ -65,7 +62,6 @@
             waiting: WaitingList::default(),
             fleet_size: ASSUMED_FLEET,
             moves: MoveBook::default(),
-            options,
         }
     }
 
@@ -93,12 +89,11 @@
     }
 
     /// Puts a table in force, unless a later one is.
-    pub fn set_table(&mut self, table: &Arc<RouteTable>, orders_revision: u64) -> bool {
+    pub fn set_table(&mut self, table: &Arc<RouteTable>) -> bool {
         let is_later = self.table.as_ref().is_none_or(|known| known.version() < table.version());
         if is_later {
             self.table = Some(Arc::clone(table));
         }
-        self.orders_revision = self.orders_revision.max(orders_revision);
         is_later
     }
 
@@ -112,7 +107,6 @@
     pub fn set_options(&mut self, options: GateOptions) {
         self.budget.set_options(options.retry);
         self.quotas.set_options(options.quota);
-        self.options = options;
     }
 
     /// Takes the number of instances that are believed to exist, this one included.
@@ -143,7 +137,8 @@
         silent
     }
 
-    /// What this instance tells its peers.
+    /// What this instance tells its peers of its work; what it knows of the store's tables is for
+    /// whoever follows them to add.
     #[must_use]
     pub fn digest(&self, run: u64, now: MonoTime) -> GateDigest {
         let usage = |(label, used): (&crate::AccountLabel, u64)| AccountUsage {
@@ -156,14 +151,12 @@
         GateDigest {
             run,
             members: 1,
-            orders_revision: self.orders_revision,
-            registry_revision: self.registry.revision(),
-            store_answers: true,
             accounts: self.quotas.used().map(usage).collect(),
             targets: self.targets.reports(),
             waiting: self.waiting.counts().map(count).collect(),
             moves: self.moves.reports(now),
             suspects: self.suspects.counts().collect(),
+            ..GateDigest::default()
         }
     }
 
@@ -367,12 +360,6 @@
             word => word,
         }
     }
-
-    /// What the gateway was told at its start.
-    #[must_use]
-    pub fn options(&self) -> &GateOptions {
-        &self.options
-    }
 }
 
 /// A draw that does not depend on the one that chooses the target.
--- a/kwg-gate/src/session/attempt_right.rs
+++ b/kwg-gate/src/session/attempt_right.rs
@@ -79,12 +79,6 @@
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
     }
-
-    /// How many targets may still run it.
-    #[must_use]
-    pub fn runs_left(&self) -> u8 {
-        self.runs_left
-    }
 }
 
 impl OpenAttempt {
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -77,11 +77,6 @@
         self.accounts.iter()
     }
 
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
-        self.hosts.values().flatten()
-    }
-
     /// Finds the route with the longest prefix, and the account of a key. `host` may end in a
     /// port; `path` has no query.
     #[must_use]
--- a/kwg-gate/src/target/target_book.rs
+++ b/kwg-gate/src/target/target_book.rs
@@ -139,16 +139,14 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// Whether a service has free places by the best estimate, and how many targets it has.
+    /// Free places of a service, by the best estimate.
     #[must_use]
-    pub fn free_places(&self, service: &str) -> (u32, u32) {
+    pub fn free_places(&self, service: &str) -> u32 {
         let targets = self
             .targets
             .values()
             .filter(|state| state.entry.service.as_str() == service && !state.entry.is_draining);
-        targets.fold((0, 0), |(free, count), state| {
-            (free + state.entry.slots.saturating_sub(state.load()), count + 1)
-        })
+        targets.map(|state| state.entry.slots.saturating_sub(state.load())).sum()
     }
 
     /// Counts an attempt that is about to be sent.
--- a/kwg-gateway/src/traffic/ready_server.rs
+++ b/kwg-gateway/src/traffic/ready_server.rs
@@ -9,7 +9,7 @@
 use kwg_h1::{HeadWriter, RequestHead};
 
 use super::traffic_hub::TrafficHub;
-use crate::socket::ByteSocket;
+use crate::socket::{ByteSocket, accept_each};
 
 /// Longest question.
 const MAX_HEAD: usize = 4 << 10;
@@ -26,25 +26,15 @@
 impl ReadyServer {
     /// Answers until the thread ends.
     pub(crate) async fn run(self, executor: Rc<LocalExecutor<'static>>) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    let hub = Rc::clone(&self.hub);
-                    executor.spawn(async move { answer(&hub, stream).await }).detach();
-                }
-                Err(error) => {
-                    log::warn!("event=accept-failed error=\"{error}\"");
-                    hub_pause(&self.hub).await;
-                }
-            }
-        }
+        let hub = self.hub;
+        accept_each(self.listener, |stream| {
+            let hub = Rc::clone(&hub);
+            executor.spawn(async move { answer(&hub, stream).await }).detach();
+        })
+        .await;
     }
 }
 
-async fn hub_pause(hub: &TrafficHub) {
-    hub.clock.sleep(Duration::from_millis(20)).await;
-}
-
 async fn answer(hub: &TrafficHub, stream: Async<TcpStream>) {
     let mut socket = ByteSocket::new(stream);
     let (mut reader, writer) = socket.split();
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -81,7 +81,7 @@
         let mut core = hub.core.borrow_mut();
         match input {
             TrafficInput::Table(table, revision) => {
-                if core.set_table(&table, revision) {
+                if core.set_table(&table) {
                     let version = table.version();
                     log::info!("event=table-in-force version={version} revision={revision}");
                 }
@@ -118,7 +118,7 @@
         let waiting = core.waiting().counts().filter(|(_, count)| *count > 0);
         waiting
             .map(|(service, count)| {
-                let (free, _) = core.targets().free_places(service.as_str());
+                let free = core.targets().free_places(service.as_str());
                 (service.clone(), free.min(u32::try_from(count).unwrap_or(u32::MAX)))
             })
             .collect()
