--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -25,7 +25,9 @@
 };
 pub use moves::{MoveDecision, MovePhase, MoveReport, MoveTracker, VersionOrder, VersionTally};
 pub use peer::{
-    AccountUsage, FleetRoster, GateDigest, InstanceMap, PeerTracker, TableLag, TargetReport,
+    AccountUsage, DigestDelta, DigestExchange, DigestHistory, DigestMirror, DigestSource,
+    DomainListing, DomainView, FleetRoster, GateDigest, InstanceMap, PeerTracker, RelayElection,
+    TableLag, TargetCode, TargetReport,
 };
 pub use registry::{DomainDistance, DomainMap, TargetEntry, TargetRegistry};
 pub use session::{
--- a/kwg-gate/src/moves/move_report.rs
+++ b/kwg-gate/src/moves/move_report.rs
@@ -23,6 +23,17 @@
 }
 
 impl MoveReport {
+    /// Whether both reports are of the same order.
+    pub(crate) fn is_same_move(&self, other: &Self) -> bool {
+        (&self.service, self.revision) == (&other.service, other.revision)
+    }
+
+    /// Removes the counts of one of the instances that this report sums up.
+    pub(crate) fn subtract(&mut self, part: &Self) {
+        self.new.subtract(&part.new);
+        self.old.subtract(&part.old);
+    }
+
     /// Merges another instance's report of the same move.
     pub(crate) fn add(&mut self, other: &Self) {
         self.phase = self.phase.max(other.phase);
@@ -51,6 +62,12 @@
         self.hold_ms += other.hold_ms;
     }
 
+    fn subtract(&mut self, part: &Self) {
+        self.good = self.good.saturating_sub(part.good);
+        self.bad = self.bad.saturating_sub(part.bad);
+        self.hold_ms = self.hold_ms.saturating_sub(part.hold_ms);
+    }
+
     /// Counts a good answer that took `hold`.
     pub fn record_good(&mut self, hold: Duration) {
         self.good += 1;
--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -4,12 +4,15 @@
 
 use kwg_model::MonoTime;
 
-use crate::{GateDigest, InstanceMap};
+use crate::{DomainListing, GateDigest, InstanceMap, RelayElection};
 
-/// Largest fleet in which every instance exchanges digests with every other one. In larger fleets
-/// instances do so within their failure domain, and one domain relay exchanges the domain's sum
-/// with the other domains.
+/// Largest group of instances in which every instance exchanges digests with every other one: the
+/// fleet if it is small, otherwise a failure domain. The relay of a domain sends the domain's sum to
+/// the other domains. In a larger domain instances send their digests to the relay only, which sends
+/// them the sums of all domains, so that the messages of an instance do not grow with the fleet.
 const MESH_SIZE: usize = 16;
+/// How long the readers that a relay has named stay in office without a further view of a relay.
+const READERS_KEPT: Duration = Duration::from_millis(1_600);
 /// Number of store readers in each failure domain of a large fleet, so that one may fail.
 const READERS_PER_DOMAIN: usize = 2;
 /// Additional delay of each further instance before it takes over as store reader from instances
@@ -32,8 +35,20 @@
     own: String,
     domain: String,
     members: BTreeMap<String, RosterMember>,
-    /// Last sum accepted from each other failure domain: run of the relay, number and arrival time.
-    sums: BTreeMap<String, (u64, u64, MonoTime)>,
+    /// Last sum accepted from each other failure domain.
+    sums: BTreeMap<String, AcceptedSum>,
+    election: RelayElection,
+    /// What the relay of this instance's domain has last listed, and when its last view arrived.
+    listing: Option<(DomainListing, MonoTime)>,
+    own_store_answers: bool,
+}
+
+#[derive(Debug, Clone)]
+struct AcceptedSum {
+    relay: String,
+    relay_run: u64,
+    number: u64,
+    at: MonoTime,
 }
 
 #[derive(Debug, Clone)]
@@ -47,11 +62,13 @@
 }
 
 impl FleetRoster {
-    /// Creates a roster with only this instance.
+    /// Creates a roster with only this instance, started at `now`.
     #[must_use]
-    pub fn new(own: &str, domain: &str) -> Self {
+    pub fn new(own: &str, domain: &str, now: MonoTime) -> Self {
         let (members, sums) = (BTreeMap::new(), BTreeMap::new());
-        Self { own: own.to_owned(), domain: domain.to_owned(), members, sums }
+        let election = RelayElection::new(own, now);
+        let (own, domain) = (own.to_owned(), domain.to_owned());
+        Self { own, domain, members, sums, election, listing: None, own_store_answers: false }
     }
 
     /// Records that an instance was live at `now`; returns whether its address is new or has
@@ -78,6 +95,7 @@
 
     /// Stores the latest digest of an instance for the sum of its failure domain.
     pub fn keep_digest(&mut self, name: &str, digest: &GateDigest) {
+        self.election.record_heard(name);
         if let Some(member) = self.members.get_mut(name) {
             if digest.store_answers {
                 member.store_answered = Some(member.last_seen);
@@ -111,54 +129,189 @@
         self.members.len() < MESH_SIZE
     }
 
-    /// The instances that this one sends its digests to.
-    pub fn neighbours(&self, now: MonoTime) -> impl Iterator<Item = &str> {
+    /// Whether the instances of this domain exchange digests through their relay.
+    #[must_use]
+    pub fn is_relayed(&self, now: MonoTime) -> bool {
+        !self.is_mesh() && self.domain_peers(now).len() >= MESH_SIZE
+    }
+
+    /// The instances that this one sends its digests to. A relay sends views instead.
+    #[must_use]
+    pub fn neighbours(&self, now: MonoTime) -> Vec<&str> {
         let is_mesh = self.is_mesh();
-        self.members
-            .iter()
-            .filter(move |(_, member)| {
-                now.since(member.last_seen) < FORGET_AFTER
-                    && (is_mesh || member.domain == self.domain)
+        if self.is_relayed(now) {
+            let mut relays = self.election.relays(&self.candidates(now), now);
+            relays.retain(|name| *name != self.own);
+            return relays;
+        }
+        let members = self.members.iter().filter(|(_, member)| {
+            now.since(member.last_seen) < FORGET_AFTER && (is_mesh || member.domain == self.domain)
+        });
+        members.map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// The other live instances of this domain, to which its relay sends views and changes.
+    #[must_use]
+    pub fn domain_peers(&self, now: MonoTime) -> Vec<&str> {
+        let members = self.members.iter().filter(|(_, member)| {
+            member.domain == self.domain && now.since(member.last_seen) < FORGET_AFTER
+        });
+        members.map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// Updates this instance's view of which instance is the relay; called with each digest.
+    pub fn update_relay(&mut self, now: MonoTime) {
+        if self.is_relayed(now) {
+            let candidates: Vec<String> =
+                self.candidates(now).into_iter().map(str::to_owned).collect();
+            let candidates: Vec<&str> = candidates.iter().map(String::as_str).collect();
+            self.election.update(&candidates, now);
+        }
+    }
+
+    /// Records a view of a relay of this domain, with its listing if it contains one; returns
+    /// whether to use it.
+    pub fn record_view(
+        &mut self,
+        from: &str,
+        listing: Option<DomainListing>,
+        now: MonoTime,
+    ) -> bool {
+        if !self.election.record_view(from, now) {
+            return false;
+        }
+        if let Some(listing) = listing {
+            for (name, address, is_live) in &listing.members {
+                let domain = self.domain.clone();
+                if *is_live {
+                    self.record_member(name, *address, &domain, now);
+                }
+            }
+            self.listing = Some((listing, now));
+        }
+        if let Some((listing, at)) = &mut self.listing {
+            *at = now;
+            for (name, _, _) in listing.members.iter().filter(|(_, _, is_live)| *is_live) {
+                if let Some(member) = self.members.get_mut(name) {
+                    member.last_seen = now;
+                }
+            }
+        }
+        true
+    }
+
+    /// What this instance, as relay, lists to the others of its domain; `own` is its address.
+    #[must_use]
+    pub fn domain_listing(&self, own: SocketAddr, now: MonoTime) -> DomainListing {
+        let members = self.members.iter().filter(|(_, member)| {
+            member.domain == self.domain && now.since(member.last_seen) < FORGET_AFTER
+        });
+        let mut members: Vec<(String, SocketAddr, bool)> = members
+            .map(|(name, member)| {
+                (name.clone(), member.address, now.since(member.last_seen) < SILENT_AFTER)
             })
-            .map(|(name, _)| name.as_str())
+            .collect();
+        members.push((self.own.clone(), own, true));
+        members.sort();
+        let is_reader = |(name, _, is_live): &&(String, SocketAddr, bool)| {
+            *is_live && self.reads_store(name, now)
+        };
+        let readers = members.iter().filter(is_reader).map(|(name, _, _)| name.clone()).collect();
+        DomainListing { members, readers }
     }
 
-    /// Whether this instance is the relay of its failure domain: the live instance with the first
-    /// name.
+    /// Whether this instance is the relay of its failure domain. In a domain of at most 16
+    /// instances it is the live one with the first name; see [`RelayElection`] for larger ones.
     #[must_use]
     pub fn is_relay(&self, now: MonoTime) -> bool {
+        if self.is_relayed(now) {
+            return self.election.is_acting();
+        }
         let is_live = |member: &RosterMember| now.since(member.last_seen) < SILENT_AFTER;
         let mut earlier = self.members.range(..self.own.clone());
         !self.is_mesh()
             && !earlier.any(|(_, member)| member.domain == self.domain && is_live(member))
     }
 
+    /// Whether this instance receives the digests of the other instances of its domain itself.
+    #[must_use]
+    pub fn hears_members(&self, now: MonoTime) -> bool {
+        !self.is_relayed(now)
+            || self.election.is_acting()
+            || self.election.relays(&self.candidates(now), now).contains(&self.own.as_str())
+    }
+
     /// Whether this instance is a store reader. In a large fleet each failure domain has
-    /// `READERS_PER_DOMAIN` of them, the instances with the first names that the store answers,
-    /// which pass changes on to the others. If the store stops answering one, the next instance by
-    /// name takes over at once and the following ones after increasing delays.
+    /// `READERS_PER_DOMAIN` of them, which pass changes on to the others. In a large domain the
+    /// relay names them.
     #[must_use]
     pub fn is_store_reader(&self, now: MonoTime) -> bool {
         if self.is_mesh() {
             return true;
         }
-        let earlier = self.members.range(..self.own.clone()).map(|(_, member)| member);
+        if !self.is_relayed(now) || self.election.is_acting() {
+            return self.reads_store(&self.own, now);
+        }
+        match &self.listing {
+            Some((listing, at)) if now.since(*at) < READERS_KEPT => {
+                listing.readers.contains(&self.own)
+            }
+            // Without a relay nobody passes changes on.
+            _ => !self.election.has_relay(now),
+        }
+    }
+
+    /// Whether `name` is one of the store readers: the instances of this domain with the first
+    /// names that the store answers. If the store stops answering one, the next instance by name
+    /// takes over at once and the following ones after increasing delays.
+    fn reads_store(&self, name: &str, now: MonoTime) -> bool {
+        let earlier = self.members.range(..name.to_owned());
         let live: Vec<&RosterMember> = earlier
+            .map(|(_, member)| member)
             .filter(|member| {
                 member.domain == self.domain && now.since(member.last_seen) < SILENT_AFTER
             })
             .collect();
-        let surplus =
-            u32::try_from(live.len().saturating_sub(READERS_PER_DOMAIN)).unwrap_or(u32::MAX);
+        let own_before = usize::from(self.own.as_str() < name);
+        let surplus = (live.len() + own_before).saturating_sub(READERS_PER_DOMAIN);
+        let surplus = u32::try_from(surplus).unwrap_or(u32::MAX);
         let takeover_delay = TAKEOVER_STEP.saturating_mul(surplus).min(MAX_TAKEOVER_DELAY);
         let reads = |member: &&&RosterMember| {
             member.digest.as_ref().is_some_and(|digest| digest.store_answers)
                 || member.store_answered.is_some_and(|at| now.since(at) < takeover_delay)
         };
-        live.iter().filter(reads).count() < READERS_PER_DOMAIN
+        let own_reads = usize::from(own_before == 1 && self.own_store_answers);
+        live.iter().filter(reads).count() + own_reads < READERS_PER_DOMAIN
     }
 
-    /// One instance of each other failure domain, selected by `draw`, a random number in [0, 1).
+    /// Records whether the store answers this instance.
+    pub fn set_store_answers(&mut self, answers: bool) {
+        self.own_store_answers = answers;
+    }
+
+    /// Sorted names of the live instances of this domain, this one included. Those that the relay
+    /// lists as silent are left out.
+    fn candidates(&self, now: MonoTime) -> Vec<&str> {
+        let listing = self.listing.as_ref().filter(|_| !self.election.is_acting());
+        let is_live = |name: &str| {
+            let listed = listing.and_then(|(listing, _)| {
+                listing.members.iter().find(|(known, _, _)| known == name)
+            });
+            listed.is_none_or(|(_, _, is_live)| *is_live)
+        };
+        let members = self.members.iter().filter(|(name, member)| {
+            member.domain == self.domain
+                && now.since(member.last_seen) < FORGET_AFTER
+                && is_live(name)
+        });
+        let mut names: Vec<&str> = members.map(|(name, _)| name.as_str()).collect();
+        names.push(&self.own);
+        names.sort_unstable();
+        names
+    }
+
+    /// One instance of each other failure domain: its relay if it has been heard, otherwise one
+    /// selected by `draw`, a random number in [0, 1).
     #[must_use]
     pub fn contacts(&self, draw: f64, now: MonoTime) -> Vec<&str> {
         let mut domains: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
@@ -168,37 +321,51 @@
             }
         }
         domains
-            .values()
-            .map(|names| names[(draw * names.len() as f64) as usize % names.len()])
+            .iter()
+            .map(|(domain, names)| {
+                let relay = self.sums.get(*domain).filter(|sum| now.since(sum.at) < SILENT_AFTER);
+                let relay = relay.filter(|_| names.len() > MESH_SIZE).map(|sum| sum.relay.as_str());
+                relay.unwrap_or(names[(draw * names.len() as f64) as usize % names.len()])
+            })
             .collect()
     }
 
     /// Sum of the digests of all live instances of this failure domain.
     #[must_use]
     pub fn domain_sum(&self, own: &GateDigest, now: MonoTime) -> GateDigest {
-        let mut sum = own.clone();
-        let neighbours = self.members.values().filter(|member| {
-            member.domain == self.domain && now.since(member.last_seen) < SILENT_AFTER
-        });
-        neighbours.filter_map(|member| member.digest.as_ref()).for_each(|digest| sum.add(digest));
-        sum
+        let members = self.members.iter().filter(|(name, _)| self.is_in_sum(name, now));
+        GateDigest::sum(own, members.filter_map(|(_, member)| member.digest.as_ref()))
     }
 
     /// Records a domain's sum if it is new; returns whether it is. The sum of a new relay is
     /// accepted only after the old relay has been silent for `SILENT_AFTER`.
-    pub fn accept_sum(&mut self, domain: &str, relay_run: u64, number: u64, now: MonoTime) -> bool {
-        let known = self.sums.get(domain).copied();
+    pub fn accept_sum(
+        &mut self,
+        domain: &str,
+        relay: &str,
+        (relay_run, number): (u64, u64),
+        now: MonoTime,
+    ) -> bool {
         let is_new = domain != self.domain
-            && known.is_none_or(|(run, last, at)| match run == relay_run {
-                true => number > last,
-                false => now.since(at) > SILENT_AFTER,
+            && self.sums.get(domain).is_none_or(|known| match known.relay_run == relay_run {
+                true => number > known.number,
+                false => now.since(known.at) > SILENT_AFTER,
             });
         if is_new {
-            self.sums.insert(domain.to_owned(), (relay_run, number, now));
+            let accepted = AcceptedSum { relay: relay.to_owned(), relay_run, number, at: now };
+            self.sums.insert(domain.to_owned(), accepted);
         }
         is_new
     }
 
+    /// Whether the digest of an instance of this domain is part of [`Self::domain_sum`].
+    #[must_use]
+    pub fn is_in_sum(&self, name: &str, now: MonoTime) -> bool {
+        self.members.get(name).is_some_and(|member| {
+            member.domain == self.domain && now.since(member.last_seen) < SILENT_AFTER
+        })
+    }
+
     /// Marks all members of another domain as live, as reported by its relay.
     pub fn refresh_domain(&mut self, domain: &str, now: MonoTime) {
         let members = self.members.values_mut().filter(|member| member.domain == domain);
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -1,12 +1,15 @@
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountLabel, MoveReport, ServiceName, TargetId};
+use crate::{AccountLabel, MoveReport, ServiceName, TargetCode};
 
-/// State of an instance, or the sum of a failure domain, sent to peers several times a second. The
-/// usage and answer counts only grow within a run, so a lost digest only delays their update.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// State of an instance, or the sum of a failure domain. Peers receive it several times a second as
+/// [`DigestDelta`](crate::DigestDelta)s. The usage and answer counts only grow within a run, so a
+/// lost digest only delays their update.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct GateDigest {
-    /// Number that identifies the sender's run.
+    /// Number that identifies the sender's run; 0 in a sum.
     pub run: u64,
     /// Number of instances whose work is included.
     pub members: u16,
@@ -18,8 +21,8 @@
     pub store_answers: bool,
     /// Usage of the client accounts at the sender.
     pub accounts: Vec<AccountUsage>,
-    /// The sender's reports of targets.
-    pub targets: Vec<(TargetId, TargetReport)>,
+    /// The sender's reports of the targets that it has used.
+    pub targets: Vec<(TargetCode, TargetReport)>,
     /// Number of requests that wait for capacity at the sender, by service.
     pub waiting: Vec<(ServiceName, u16)>,
     /// The sender's reports of version moves.
@@ -29,42 +32,78 @@
 }
 
 impl GateDigest {
-    /// Adds the work of another instance to this digest.
-    pub fn add(&mut self, other: &Self) {
-        self.members += other.members;
-        for usage in &other.accounts {
-            match self.accounts.iter_mut().find(|known| known.label == usage.label) {
-                Some(known) => known.used += usage.used,
-                None => self.accounts.push(usage.clone()),
+    /// Adds up the digests of a failure domain, from the relay's `own` and those of its `others`.
+    /// The revisions and the store's state are the relay's.
+    #[must_use]
+    pub fn sum<'a>(own: &'a Self, others: impl Iterator<Item = &'a Self>) -> Self {
+        let mut sum = Self { run: 0, members: 0, ..own.clone() };
+        let mut accounts: HashMap<&AccountLabel, u64> = HashMap::new();
+        let mut targets: HashMap<TargetCode, TargetReport> = HashMap::new();
+        let mut waiting: HashMap<&ServiceName, u16> = HashMap::new();
+        let mut suspects: HashMap<u64, u32> = HashMap::new();
+        sum.moves.clear();
+        for digest in std::iter::once(own).chain(others) {
+            sum.members = sum.members.saturating_add(digest.members);
+            for usage in &digest.accounts {
+                *accounts.entry(&usage.label).or_default() += usage.used;
             }
-        }
-        for (id, report) in &other.targets {
-            match self.targets.iter_mut().find(|(known, _)| known == id) {
-                Some((_, known)) => known.add(report),
-                None => self.targets.push((id.clone(), *report)),
+            for (code, report) in &digest.targets {
+                targets.entry(*code).or_default().add(report);
             }
-        }
-        for (service, count) in &other.waiting {
-            match self.waiting.iter_mut().find(|(known, _)| known == service) {
-                Some((_, known)) => *known = known.saturating_add(*count),
-                None => self.waiting.push((service.clone(), *count)),
+            for (service, count) in &digest.waiting {
+                let known = waiting.entry(service).or_default();
+                *known = known.saturating_add(*count);
+            }
+            digest.moves.iter().for_each(|report| sum.add_move(report));
+            for (print, cuts) in &digest.suspects {
+                *suspects.entry(*print).or_default() += cuts;
             }
         }
-        for report in &other.moves {
-            let known = self.moves.iter_mut().find(|known| {
-                (&known.service, known.revision) == (&report.service, report.revision)
-            });
-            match known {
-                Some(known) => known.add(report),
-                None => self.moves.push(report.clone()),
+        let usage =
+            |(label, used): (&AccountLabel, u64)| AccountUsage { label: label.clone(), used };
+        sum.accounts = accounts.into_iter().map(usage).collect();
+        sum.targets = targets.into_iter().collect();
+        sum.waiting = waiting.into_iter().map(|(name, count)| (name.clone(), count)).collect();
+        sum.suspects = suspects.into_iter().collect();
+        sum
+    }
+
+    /// Removes the work of one of the instances that this sum includes. The mean durations stay
+    /// those of all instances.
+    pub(crate) fn subtract(&mut self, part: &Self) {
+        self.members = self.members.saturating_sub(part.members);
+        let used: HashMap<&AccountLabel, u64> =
+            part.accounts.iter().map(|usage| (&usage.label, usage.used)).collect();
+        for usage in &mut self.accounts {
+            usage.used = usage.used.saturating_sub(used.get(&usage.label).copied().unwrap_or(0));
+        }
+        let reports: HashMap<TargetCode, &TargetReport> =
+            part.targets.iter().map(|(code, report)| (*code, report)).collect();
+        for (code, report) in &mut self.targets {
+            if let Some(own) = reports.get(code) {
+                report.subtract(own);
             }
         }
-        for (fingerprint, count) in &other.suspects {
-            match self.suspects.iter_mut().find(|(known, _)| known == fingerprint) {
-                Some((_, known)) => *known += count,
-                None => self.suspects.push((*fingerprint, *count)),
+        for (service, count) in &mut self.waiting {
+            let own = part.waiting.iter().find(|(name, _)| name == service);
+            *count = count.saturating_sub(own.map_or(0, |(_, count)| *count));
+        }
+        for report in &mut self.moves {
+            if let Some(own) = part.moves.iter().find(|own| own.is_same_move(report)) {
+                report.subtract(own);
             }
         }
+        for (print, cuts) in &mut self.suspects {
+            let own = part.suspects.iter().find(|(known, _)| known == print);
+            *cuts = cuts.saturating_sub(own.map_or(0, |(_, cuts)| *cuts));
+        }
+    }
+
+    fn add_move(&mut self, report: &MoveReport) {
+        match self.moves.iter_mut().find(|known| known.is_same_move(report)) {
+            Some(known) => known.add(report),
+            None => self.moves.push(report.clone()),
+        }
     }
 }
 
@@ -115,4 +154,12 @@
         self.hold_ms = mean(self.hold_ms, self.hold_weight, other.hold_ms, other.hold_weight);
         self.hold_weight = self.hold_weight.saturating_add(other.hold_weight);
     }
+
+    /// Removes the counts of one of the instances that this report sums up.
+    fn subtract(&mut self, part: &Self) {
+        self.running = self.running.saturating_sub(part.running);
+        self.unread_tokens = self.unread_tokens.saturating_sub(part.unread_tokens);
+        self.good = self.good.saturating_sub(part.good);
+        self.bad = self.bad.saturating_sub(part.bad);
+    }
 }
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -116,24 +116,32 @@
         for (name, count) in allocated {
             match name == own {
                 true => self.share.set_owned(count),
-                false => self.owners.push((name.to_owned(), count)),
+                false if count > 0 => self.owners.push((name.to_owned(), count)),
+                false => {}
             }
         }
     }
 
     /// Number of free slots that their owners do not need; owners need them while requests wait at
     /// them. The slots of an owner that sends no reports to this instance stay reserved, unless the
-    /// sum of the target's failure domain reports that no requests wait.
-    pub(crate) fn lendable_slots(&self, has_waiting: impl Fn(&str) -> Option<bool>) -> u32 {
+    /// sum of the target's failure domain reports that no requests wait. The sum of the own domain
+    /// (`is_local`) counts the owners' waiting requests, so that all claims share the free slots.
+    pub(crate) fn lendable_slots(
+        &self,
+        has_waiting: impl Fn(&str) -> Option<bool>,
+        is_local: bool,
+    ) -> u32 {
         let free = self.entry.slots.saturating_sub(self.load());
         let domain = InstanceMap::domain_peer_name(&self.entry.domain);
+        let domain_waits = has_waiting(&domain);
         let wanted = |(owner, owned): &(String, u32)| match has_waiting(owner) {
             Some(true) => {
                 let running = self.reports.get(owner).map_or(0, |(_, report)| report.running);
                 owned.saturating_sub(u32::from(running))
             }
             Some(false) => 0,
-            None if has_waiting(&domain) == Some(false) => 0,
+            None if is_local && domain_waits.is_some() => 0,
+            None if domain_waits == Some(false) => 0,
             None => *owned,
         };
         free.saturating_sub(self.owners.iter().map(wanted).sum())
@@ -192,12 +200,21 @@
         }
     }
 
-    /// Applies a peer's report. Its answer counts only grow, so the differences are new answers.
-    pub(crate) fn apply_report(&mut self, peer: &str, report: TargetReport, now: MonoTime) {
-        if let Some((_, before)) = self.reports.insert(peer.to_owned(), (now, report)) {
-            let good = report.good.saturating_sub(before.good);
-            let bad = report.bad.saturating_sub(before.bad);
-            self.health.record_reported(good, bad, now);
+    /// Applies a peer's report, or that the peer does not use the target. The answer counts of a
+    /// report only grow, so the differences are new answers.
+    pub(crate) fn apply_report(&mut self, peer: &str, report: Option<TargetReport>, now: MonoTime) {
+        match (self.reports.get_mut(peer), report) {
+            (Some((at, before)), report) => {
+                let report = report.unwrap_or_default();
+                let good = report.good.saturating_sub(before.good);
+                let bad = report.bad.saturating_sub(before.bad);
+                (*at, *before) = (now, report);
+                self.health.record_reported(good, bad, now);
+            }
+            (None, Some(report)) => {
+                self.reports.insert(peer.to_owned(), (now, report));
+            }
+            (None, None) => {}
         }
     }
 
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -9,7 +9,7 @@
 use super::target_state::TargetState;
 use crate::{
     AttemptSample, DomainMap, GateDigest, InstanceMap, Placement, PlacementDecision,
-    PlacementQuery, TargetEntry, TargetId, TargetRegistry, TargetReport,
+    PlacementQuery, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport,
 };
 
 /// Upper bound of the random amount added to the cost of a target at which this instance owns an
@@ -41,6 +41,7 @@
     instances: InstanceMap,
     targets: SlotMap<TargetKey, TargetState>,
     ids: HashMap<TargetId, TargetKey>,
+    codes: HashMap<TargetCode, TargetKey>,
 }
 
 impl TargetTracker {
@@ -59,6 +60,7 @@
                 Some(state) if state.entry.born == entry.born => state.entry = entry.clone(),
                 _ => {
                     let key = self.targets.insert(TargetState::new(entry.clone()));
+                    self.codes.insert(TargetCode::of(entry.id.as_str()), key);
                     if let Some(before) = self.ids.insert(entry.id.clone(), key) {
                         self.targets.remove(before);
                     }
@@ -74,6 +76,7 @@
         for key in &removed {
             if let Some(state) = self.targets.remove(*key) {
                 self.ids.remove(&state.entry.id);
+                self.codes.remove(&TargetCode::of(state.entry.id.as_str()));
             }
         }
         self.allocate_slots();
@@ -185,7 +188,8 @@
         let mut draws = DrawSequence(draw);
         for state in self.targets.values_mut() {
             let service = state.entry.service.as_str();
-            let lendable = state.lendable_slots(|peer| has_waiting(peer, service));
+            let is_local = state.entry.domain == self.domains.own;
+            let lendable = state.lendable_slots(|peer| has_waiting(peer, service), is_local);
             let share = share(service) * state.claim_rate(now);
             state.share.refresh(lendable, share, draws.next());
         }
@@ -252,13 +256,15 @@
         }
     }
 
-    /// Applies the digest of a peer.
+    /// Applies the digest of a peer. Targets that it does not contain are unused there.
     pub fn apply_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
-        for (id, report) in &digest.targets {
-            let key = self.ids.get(id).copied();
-            if let Some(state) = key.and_then(|key| self.targets.get_mut(key)) {
-                state.apply_report(peer, *report, now);
-            }
+        let reports: HashMap<TargetKey, TargetReport> = digest
+            .targets
+            .iter()
+            .filter_map(|(code, report)| Some((*self.codes.get(code)?, *report)))
+            .collect();
+        for (key, state) in &mut self.targets {
+            state.apply_report(peer, reports.get(&key).copied(), now);
         }
     }
 
@@ -267,9 +273,12 @@
         self.targets.values_mut().for_each(|state| state.drop_report(peer));
     }
 
-    /// Reports of this instance on all targets, for its peers.
+    /// Reports of this instance on the targets that it has used, for its peers.
     #[must_use]
-    pub fn reports(&self) -> Vec<(TargetId, TargetReport)> {
-        self.targets.values().map(|state| (state.entry.id.clone(), state.report())).collect()
+    pub fn reports(&self) -> Vec<(TargetCode, TargetReport)> {
+        let report =
+            |state: &TargetState| (TargetCode::of(state.entry.id.as_str()), state.report());
+        let reports = self.targets.values().map(report);
+        reports.filter(|(_, report)| *report != TargetReport::default()).collect()
     }
 }
--- a/kwg-gate/tests/roster.rs
+++ b/kwg-gate/tests/roster.rs
@@ -11,7 +11,7 @@
 
 /// The roster of an instance of domain `a` in a fleet of `each` instances in each of three domains.
 fn roster(own: &str, each: u16, now: MonoTime) -> FleetRoster {
-    let mut roster = FleetRoster::new(own, "a");
+    let mut roster = FleetRoster::new(own, "a", now);
     for domain in ["a", "b", "c"] {
         for number in 0..each {
             let name = format!("{domain}-{number:02}");
@@ -28,7 +28,7 @@
     let now = MonoTime::from_millis(1);
     let roster = roster("a-00", 3, now);
     assert!(roster.is_mesh());
-    assert_eq!(roster.neighbours(now).count(), 8);
+    assert_eq!(roster.neighbours(now).len(), 8);
     assert!(roster.is_store_reader(now) && !roster.is_relay(now));
 }
 
@@ -36,7 +36,7 @@
 fn a_large_fleet_exchanges_digests_within_domains_and_replaces_a_failed_relay() {
     let now = MonoTime::from_millis(1);
     let first = roster("a-00", 10, now);
-    assert_eq!(first.neighbours(now).count(), 9);
+    assert_eq!(first.neighbours(now).len(), 9);
     assert_eq!(first.contacts(0.5, now).len(), 2, "one in each other domain");
     assert!(first.is_relay(now));
     let mut second = roster("a-01", 10, now);
@@ -86,9 +86,9 @@
 fn a_domain_sum_is_accepted_once_and_from_one_relay_at_a_time() {
     let now = MonoTime::from_millis(1);
     let mut roster = roster("a-00", 10, now);
-    assert!(roster.accept_sum("b", 7, 1, now));
-    assert!(!roster.accept_sum("b", 7, 1, now), "known");
-    assert!(!roster.accept_sum("b", 8, 9, now), "the old relay is still live");
-    assert!(roster.accept_sum("b", 8, 10, now + Duration::from_millis(1_500)));
-    assert!(!roster.accept_sum("a", 7, 1, now), "the sum is of the own domain");
+    assert!(roster.accept_sum("b", "b-00", (7, 1), now));
+    assert!(!roster.accept_sum("b", "b-00", (7, 1), now), "known");
+    assert!(!roster.accept_sum("b", "b-01", (8, 9), now), "the old relay is still live");
+    assert!(roster.accept_sum("b", "b-01", (8, 10), now + Duration::from_millis(1_500)));
+    assert!(!roster.accept_sum("a", "a-00", (7, 1), now), "the sum is of the own domain");
 }
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -99,11 +99,14 @@
         self.is_relay.get()
     }
 
-    /// Sets whether this instance is the domain relay, and logs a change.
-    pub(crate) fn set_relay(&self, is_relay: bool) {
-        if self.is_relay.replace(is_relay) != is_relay {
+    /// Sets whether this instance is the domain relay; logs a change and returns whether there was
+    /// one.
+    pub(crate) fn set_relay(&self, is_relay: bool) -> bool {
+        let is_change = self.is_relay.replace(is_relay) != is_relay;
+        if is_change {
             log::info!("event=speaker-changed speaks={is_relay}");
         }
+        is_change
     }
 
     /// Sets whether this instance reads the store itself; logs a change and returns whether there
--- a/kwg-gateway/src/control/peer_handler.rs
+++ b/kwg-gateway/src/control/peer_handler.rs
@@ -9,7 +9,10 @@
 use async_executor::Executor;
 use futures_lite::FutureExt;
 use kwg_adapter::StoreRow;
-use kwg_gate::{FleetRoster, GateDigest, InstanceMap, TableLag};
+use kwg_gate::{
+    DigestDelta, DigestExchange, DigestMirror, DigestSource, DomainView, FleetRoster, GateDigest,
+    InstanceMap, TableLag,
+};
 use kwg_model::{InstanceName, MonoTime};
 use kwg_peer::{LinkCommand, LinkOptions, LinkSink, PeerLink, TlsIdentity};
 use kwg_telemetry::{EventLine, HybridClock};
@@ -31,12 +34,17 @@
 /// within a domain, since targets of another domain are only a second choice.
 const SUM_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Capacity of the queue of messages for one peer: those of some seconds. Digests are outdated by
+/// then, and tables are pulled again.
+const LINK_BACKLOG: usize = 64;
+
 /// Exchanges digests, table changes and domain sums with the other gateways.
 #[derive(Debug)]
 pub(crate) struct PeerHandler {
     state: Rc<ControlState>,
     commands: Sender<LinkCommand>,
     roster: FleetRoster,
+    exchange: DigestExchange,
     instances: InstanceMap,
     /// Sequence number of the last domain sum sent.
     sums_sent: u64,
@@ -88,7 +96,9 @@
             roster: FleetRoster::new(
                 state.settings.name.as_str(),
                 &state.settings.gate.domains.own,
+                state.clock.now(),
             ),
+            exchange: DigestExchange::default(),
             instances: InstanceMap::default(),
             sums_sent: 0,
             sum_due: MonoTime::ZERO,
@@ -125,6 +135,7 @@
             identity,
             clock: self.state.clock.clone(),
             hybrid_clock: HybridClock::default(),
+            backlog: LINK_BACKLOG,
         };
         let (commands, queued_commands) = unbounded();
         let sink = Arc::new(MessageSink { messages, metrics: self.state.metrics.clone() });
@@ -192,33 +203,67 @@
             store_answers: self.state.is_store_available(),
             ..digest
         };
+        self.roster.set_store_answers(digest.store_answers);
+        self.roster.update_relay(now);
         let (address, domain) = (self.state.settings.peer, &self.state.settings.gate.domains.own);
+        let delta = self.exchange.encode_own(&digest);
         for name in self.roster.neighbours(now) {
-            let digest = Box::new(digest.clone());
-            self.send(name, GateMessage::Digest { address, domain: domain.clone(), digest });
+            let delta = Box::new(delta.clone());
+            self.send(name, GateMessage::Digest { address, domain: domain.clone(), delta });
         }
-        if now >= self.sum_due && self.roster.is_relay(now) {
-            self.sum_due = now + SUM_INTERVAL;
-            self.sums_sent += 1;
-            let (number, sum) = (self.sums_sent, self.roster.domain_sum(&digest, now));
-            for name in self.roster.contacts(random(), now) {
-                let (domain, digest) = (domain.clone(), Box::new(sum.clone()));
-                self.send(name, GateMessage::DomainSum { domain, number, digest, pass_on: true });
-            }
+        if self.roster.is_relay(now) {
+            self.send_sums(&digest, now);
         }
         self.state.expire_targets();
         let instances = self.roster.instances(now);
         if self.instances != instances {
             log::info!("event=fleet-size instances={}", instances.size());
+            let is_member = |name: &str| instances.domains.values().flatten().any(|n| n == name);
+            self.exchange.retain(is_member);
             self.state.send_to_traffic(TrafficInput::Instances(instances.clone()));
             self.instances = instances;
         }
-        self.state.set_relay(self.roster.is_relay(now));
+        if self.state.set_relay(self.roster.is_relay(now)) {
+            self.exchange.request_full();
+        }
         if self.state.set_store_reader(self.roster.is_store_reader(now)) {
             self.wakeups.values().for_each(wake);
         }
     }
 
+    /// Sends the sum of this failure domain: in a view to the instances of a large domain, and less
+    /// often to the other domains.
+    fn send_sums(&mut self, digest: &GateDigest, now: MonoTime) {
+        let sum = self.roster.domain_sum(digest, now);
+        let domain = self.state.settings.gate.domains.own.clone();
+        if now >= self.sum_due {
+            self.sum_due = now + SUM_INTERVAL;
+            self.sums_sent += 1;
+            let delta = DigestSource::default().next_delta(&sum);
+            for name in self.roster.contacts(random(), now) {
+                let message = GateMessage::DomainSum {
+                    domain: domain.clone(),
+                    relay: self.state.settings.name.to_string(),
+                    run: self.state.run_id,
+                    number: self.sums_sent,
+                    delta: Box::new(delta.clone()),
+                    pass_on: true,
+                };
+                self.send(name, message);
+            }
+        }
+        if self.roster.is_relayed(now) {
+            let listing = self.roster.domain_listing(self.state.settings.peer, now);
+            let view = self.exchange.next_view(&domain, sum, listing);
+            for name in self.roster.domain_peers(now) {
+                let included =
+                    self.exchange.last_of(name).filter(|_| self.roster.is_in_sum(name, now));
+                let view = DomainView { included, ..view.clone() };
+                self.send(name, GateMessage::View(Box::new(view)));
+            }
+        }
+    }
+
     /// Forwards changes from the store to the neighbours, unless the fleet is a full mesh, in which
     /// every instance reads the store itself.
     fn forward_changes(&self, changes: &TableChanges) {
@@ -231,7 +276,11 @@
             .iter()
             .map(|row| (row.key.clone(), row.revision, row.value.clone()))
             .collect();
-        for name in self.roster.neighbours(now) {
+        let recipients = match self.roster.is_relay(now) {
+            true => self.roster.domain_peers(now),
+            false => self.roster.neighbours(now),
+        };
+        for name in recipients {
             let (table, base, rows) = (changes.table, changes.base, rows.clone());
             self.send(name, GateMessage::Changes { table, base, rows });
         }
@@ -242,33 +291,42 @@
     fn handle_message(&mut self, from: InstanceName, message: GateMessage) {
         let now = self.state.clock.now();
         match message {
-            GateMessage::Digest { address, domain, digest } => {
+            GateMessage::Digest { address, domain, delta } => {
                 if self.roster.record_member(from.as_str(), address, &domain, now) {
                     log::info!("event=peer-found peer={from} address={address}");
                     self.publish_addresses();
                 }
+                let digest = self.exchange.decode(from.as_str(), &delta);
+                if self.exchange.has_gap(from.as_str()) {
+                    self.send(from.as_str(), GateMessage::Resync);
+                }
+                let Some(digest) = digest else { return };
                 if !self.roster.is_mesh() {
                     self.roster.keep_digest(from.as_str(), &digest);
                 }
                 self.compare_tables(&from, &digest, now);
-                self.state.send_to_traffic(TrafficInput::Digest(from.to_string(), digest));
+                if self.roster.hears_members(now) {
+                    self.send_digest(from.to_string(), digest);
+                }
             }
-            GateMessage::DomainSum { domain, number, digest, pass_on } => {
-                if !self.roster.accept_sum(&domain, digest.run, number, now) {
+            GateMessage::DomainSum { domain, relay, run, number, delta, pass_on } => {
+                let message = (run, number);
+                if !self.roster.accept_sum(&domain, &relay, message, now) {
                     return;
                 }
                 self.roster.refresh_domain(&domain, now);
                 if pass_on {
-                    for name in self.roster.neighbours(now) {
-                        let (domain, digest) = (domain.clone(), digest.clone());
-                        let pass_on = false;
-                        self.send(name, GateMessage::DomainSum { domain, number, digest, pass_on });
-                    }
+                    self.pass_on_sum(&domain, &relay, message, &delta, now);
                 }
-                self.compare_tables(&from, &digest, now);
-                let name = InstanceMap::domain_peer_name(&domain);
-                self.state.send_to_traffic(TrafficInput::Digest(name, digest));
+                let Some(sum) = DigestMirror::default().apply(&delta) else { return };
+                self.compare_tables(&from, &sum, now);
+                if self.roster.is_relay(now) {
+                    self.exchange.keep_sum(&domain, sum.clone());
+                }
+                self.send_digest(InstanceMap::domain_peer_name(&domain), sum);
             }
+            GateMessage::View(view) => self.apply_view(&from, *view, now),
+            GateMessage::Resync => self.exchange.request_full(),
             GateMessage::Pull { table } => {
                 let mirrors = self.state.mirrors.borrow();
                 if let Some(mirror) = mirrors.get(&table).filter(|mirror| mirror.is_filled()) {
@@ -285,7 +343,10 @@
                     value,
                     revision,
                 });
-                self.state.apply_changes(table, rows.collect(), revision);
+                let rows = self.state.apply_changes(table, rows.collect(), revision);
+                if !rows.is_empty() && self.roster.is_relayed(now) && self.roster.is_relay(now) {
+                    self.forward_changes(&TableChanges { table, base, rows });
+                }
             }
             GateMessage::Copy { table, revision, rows } => {
                 self.state.apply_snapshot(table, rows, revision, from.as_str());
@@ -293,6 +354,65 @@
         }
     }
 
+    /// Forwards the sum of another domain: to the neighbours, which in a large domain are its
+    /// relay and the instance that can replace it. The relay of a large domain sends it in views.
+    fn pass_on_sum(
+        &self,
+        domain: &str,
+        relay: &str,
+        (run, number): (u64, u64),
+        delta: &DigestDelta,
+        now: MonoTime,
+    ) {
+        if self.roster.is_relayed(now) && self.roster.is_relay(now) {
+            return;
+        }
+        for name in self.roster.neighbours(now) {
+            let message = GateMessage::DomainSum {
+                domain: domain.to_owned(),
+                relay: relay.to_owned(),
+                run,
+                number,
+                delta: Box::new(delta.clone()),
+                pass_on: false,
+            };
+            self.send(name, message);
+        }
+    }
+
+    /// Applies a view of this domain's relay.
+    fn apply_view(&mut self, from: &InstanceName, view: DomainView, now: MonoTime) {
+        let listing = view.listing.clone();
+        let known = self.roster.addresses().count();
+        if !self.roster.record_view(from.as_str(), listing, now) {
+            return;
+        }
+        if self.roster.addresses().count() != known {
+            self.publish_addresses();
+        }
+        let domain = self.state.settings.gate.domains.own.clone();
+        let run = self.state.run_id;
+        let sums = self.exchange.decode_view(from.as_str(), &view, &domain, run);
+        if self.exchange.has_view_gap() {
+            self.send(from.as_str(), GateMessage::Resync);
+        }
+        for (of, sum) in sums {
+            if of == domain {
+                self.compare_tables(from, &sum, now);
+                if self.roster.hears_members(now) {
+                    continue;
+                }
+            } else {
+                self.roster.refresh_domain(&of, now);
+            }
+            self.send_digest(InstanceMap::domain_peer_name(&of), sum);
+        }
+    }
+
+    fn send_digest(&self, peer: String, digest: GateDigest) {
+        self.state.send_to_traffic(TrafficInput::Digest(peer, Box::new(digest)));
+    }
+
     /// Compares the table revisions that a digest reports with those known here.
     fn compare_tables(&mut self, peer: &InstanceName, digest: &GateDigest, now: MonoTime) {
         self.pull_if_behind(peer, SharedTable::Orders, digest.orders_revision, now);
--- a/kwg-peer/src/inbound_link.rs
+++ b/kwg-peer/src/inbound_link.rs
@@ -9,7 +9,7 @@
 
 use crate::{LinkCommand, LinkSink, TlsIdentity};
 
-/// Size of the read buffer, in bytes.
+/// Largest number of bytes taken from a stream at once.
 const READ_BYTES: usize = 64 << 10;
 
 /// Receiving end of a link that another instance has opened; frames flow only to this instance.
@@ -61,9 +61,9 @@
     ) -> Result<(), LinkFault> {
         let mut frames = FrameReader::default();
         let mut sender: Option<InstanceName> = None;
-        let mut buffer = vec![0; READ_BYTES];
-        while let Ok(Some(count)) = stream.read(&mut buffer).await {
-            frames.push(&buffer[..count]);
+        // An idle link holds no read buffer: an instance may have links from a whole domain.
+        while let Ok(Some(chunk)) = stream.read_chunk(READ_BYTES, true).await {
+            frames.push(&chunk.bytes);
             while let Some(frame) = frames.next_frame().map_err(|_| LinkFault::Malformed)? {
                 self.hybrid_clock.observe(frame.stamp);
                 match (frame.body, &sender) {
--- a/kwg-peer/src/peer_link.rs
+++ b/kwg-peer/src/peer_link.rs
@@ -16,9 +16,6 @@
 use crate::peer_sender::PeerSender;
 use crate::{LinkError, LinkRuntime, LinkSink, TlsIdentity};
 
-/// Capacity of the queue of frames for one peer.
-const SENDER_BACKLOG: usize = 4_096;
-
 /// Identity, address and clocks of an instance's peer links.
 #[derive(Debug)]
 pub struct LinkOptions {
@@ -34,6 +31,8 @@
     pub clock: ClockHandle,
     /// The hybrid clock that stamps frames.
     pub hybrid_clock: HybridClock,
+    /// Capacity of the queue of frames for one peer; frames beyond it are dropped.
+    pub backlog: usize,
 }
 
 /// A command to [`PeerLink::run`].
@@ -156,7 +155,7 @@
     }
 
     fn start_sender(&self, peer: InstanceName, address: SocketAddr) -> Sender<PeerBody> {
-        let (bodies, receiver) = bounded(SENDER_BACKLOG);
+        let (bodies, receiver) = bounded(self.options.backlog);
         let sender = PeerSender {
             instance: self.options.instance.clone(),
             incarnation: self.options.incarnation,
--- a/kwg-peer/tests/links.rs
+++ b/kwg-peer/tests/links.rs
@@ -90,6 +90,7 @@
             identity: identity.expect("valid keys"),
             clock: ClockHandle::system(),
             hybrid_clock: HybridClock::default(),
+            backlog: 64,
         };
         let (sink, executor) = (Arc::new(TestSink::default()), Arc::new(Executor::new()));
         let (commands, receiver) = bounded(100);
--- a/kwg-router/src/link_thread.rs
+++ b/kwg-router/src/link_thread.rs
@@ -11,6 +11,9 @@
 use crate::router_error::LinkSnafu;
 use crate::router_pipes::RouterPipes;
 
+/// Capacity of the queue of frames for one peer.
+const LINK_BACKLOG: usize = 4_096;
+
 /// Runs the links to other routers.
 #[derive(Debug)]
 pub(crate) struct LinkThread {
@@ -39,6 +42,7 @@
             identity: identity.context(LinkSnafu)?,
             clock: pipes.clock.clone(),
             hybrid_clock: pipes.events.clock().clone(),
+            backlog: LINK_BACKLOG,
         };
         let executor = Arc::new(Executor::new());
         let sink = Arc::new(InboundSink(pipes.clone()));
--- a/kwg-wire/src/gate_message.rs
+++ b/kwg-wire/src/gate_message.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use kwg_gate::GateDigest;
+use kwg_gate::{DigestDelta, DomainView};
 use serde::{Deserialize, Serialize};
 
 /// Message from one gateway to another.
@@ -12,20 +12,29 @@
         address: SocketAddr,
         /// The sender's failure domain.
         domain: String,
-        /// The report.
-        digest: Box<GateDigest>,
+        /// What has changed since the sender's last report.
+        delta: Box<DigestDelta>,
     },
     /// Aggregated reports of a whole failure domain.
     DomainSum {
         /// The domain.
         domain: String,
+        /// The domain's relay.
+        relay: String,
+        /// Number that identifies the relay's run.
+        run: u64,
         /// The sequence number of this sum, increasing per domain relay.
         number: u64,
-        /// The aggregated report.
-        digest: Box<GateDigest>,
+        /// The aggregated report; complete.
+        delta: Box<DigestDelta>,
         /// Whether the receiver forwards it within its own domain.
         pass_on: bool,
     },
+    /// Sums of failure domains and list of members, from the relay of a large domain to the
+    /// domain's other instances.
+    View(Box<DomainView>),
+    /// Request for complete reports: the sender has missed one of the recipient.
+    Resync,
     /// Request for a copy of a table: the sender has seen a newer revision reported by the
     /// recipient.
     Pull {
