--- a/knapweedglade/tests/support/mod.rs
+++ b/knapweedglade/tests/support/mod.rs
@@ -15,6 +15,9 @@
 /// Time limit for every wait of a test.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
+/// Memory limit in the settings: that of the operators' smallest instances.
+pub const MEMORY_MB: u64 = 88;
+
 /// A store, runners and one gateway.
 pub struct TestFleet {
     pub store: StoreStandin,
@@ -61,6 +64,7 @@
             .expect("grows");
         writeln!(text, "metrics = {metrics}\npeer = {peer}\nstore = {}", store.address())
             .expect("grows");
+        writeln!(text, "memory_mb = {MEMORY_MB}").expect("grows");
         text.push_str("grace_s = 8\n[domains]\ngraz = ost\n");
         let file = folder.join("gateway.ini");
         std::fs::write(&file, text).expect("writable");
@@ -89,6 +93,14 @@
         self.signal("-TERM");
     }
 
+    /// Resident memory of the process, in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        let file = format!("/proc/{}/statm", self.child.id());
+        let text = std::fs::read_to_string(file).expect("the process runs");
+        let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        pages.expect("a number") * 4_096
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([name, &id]).status().expect("kill is installed");
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -237,19 +237,7 @@
         draw: f64,
         now: MonoTime,
     ) -> PlacementStep {
-        let query = PlacementQuery {
-            service: plan.service.as_str(),
-            prompt_tokens: details.tokens.map_or(0, |tokens| tokens.prompt),
-            output_tokens: details.tokens.map_or(0, |tokens| tokens.output),
-            left: plan.due.since(now),
-            on_engine: plan.on_engine,
-            target_latency: plan.target_latency,
-            gap_target: plan.gap_target,
-            is_contended: self.peers.waiting(plan.service.as_str()) > 0
-                || self.waiting.count(plan.service.as_str()) > 0,
-            tried: &plan.tried,
-            version: self.moves.filter(plan.service.as_str(), version_draw(draw), now),
-        };
+        let query = self.placement_query(details, plan, &plan.tried, draw, now);
         let mut decision = self.targets.place(&query, now, draw);
         if decision == PlacementDecision::NoTarget
             && self.moves.may_fall_back(plan.service.as_str())
@@ -301,6 +289,49 @@
         &mut self.waiting
     }
 
+    /// Whether a request that was sent to `target` could be sent to another one at once.
+    pub(crate) fn may_resend(
+        &self,
+        details: &RequestDetails,
+        plan: &RoutePlan,
+        target: TargetKey,
+        now: MonoTime,
+    ) -> bool {
+        let tried: Vec<TargetKey> = plan.tried.iter().copied().chain([target]).collect();
+        let query = self.placement_query(details, plan, &tried, 0.0, now);
+        self.has_retry(details, plan, now)
+            && matches!(self.targets.place(&query, now, 0.0), PlacementDecision::Send(_))
+    }
+
+    fn placement_query<'a>(
+        &'a self,
+        details: &RequestDetails,
+        plan: &'a RoutePlan,
+        tried: &'a [TargetKey],
+        draw: f64,
+        now: MonoTime,
+    ) -> PlacementQuery<'a> {
+        let service = plan.service.as_str();
+        PlacementQuery {
+            service,
+            prompt_tokens: details.tokens.map_or(0, |tokens| tokens.prompt),
+            output_tokens: details.tokens.map_or(0, |tokens| tokens.output),
+            left: plan.due.since(now),
+            on_engine: plan.on_engine,
+            target_latency: plan.target_latency,
+            gap_target: plan.gap_target,
+            is_contended: self.peers.waiting(service) > 0 || self.waiting.count(service) > 0,
+            tried,
+            version: self.moves.filter(service, version_draw(draw), now),
+        }
+    }
+
+    /// Whether the retry budget and the list of suspects allow one more attempt.
+    fn has_retry(&self, details: &RequestDetails, plan: &RoutePlan, now: MonoTime) -> bool {
+        !self.suspects.is_blocked(details.fingerprint)
+            && self.budget.has_room(&plan.service, self.peers.instances(), now)
+    }
+
     pub(crate) fn allow_retry(
         &mut self,
         details: &RequestDetails,
@@ -313,8 +344,9 @@
         if evidence == AttemptEvidence::NotSent {
             return Ok(());
         }
-        let is_blocked = self.suspects.is_blocked(details.fingerprint);
-        if !is_blocked && self.budget.take(&plan.service, self.peers.instances(), now) {
+        if self.has_retry(details, plan, now)
+            && self.budget.take(&plan.service, self.peers.instances(), now)
+        {
             return Ok(());
         }
         let outcome = match permit.may_have_run() {
--- a/kwg-gate/src/limit/retry_budget.rs
+++ b/kwg-gate/src/limit/retry_budget.rs
@@ -63,16 +63,24 @@
         self.interval(service, now).requests += 1;
     }
 
-    /// Takes one retry from the budget, if this instance's share of it among `instances` instances
-    /// allows it.
-    pub fn take(&mut self, service: &ServiceName, instances: u32, now: MonoTime) -> bool {
-        self.interval(service, now);
-        let intervals = &self.services[service];
-        let requests: u32 = intervals.iter().map(|interval| interval.requests).sum();
-        let retries: u32 = intervals.iter().map(|interval| interval.retries).sum();
+    /// Whether this instance's share of the budget among `instances` instances allows one more
+    /// retry.
+    #[must_use]
+    pub fn has_room(&self, service: &ServiceName, instances: u32, now: MonoTime) -> bool {
+        let window = self.options.window;
+        let intervals = self.services.get(service).into_iter().flatten();
+        let intervals = intervals.filter(|interval| now.since(interval.start) <= window);
+        let (requests, retries) = intervals.fold((0, 0), |(requests, retries), interval| {
+            (requests + interval.requests, retries + interval.retries)
+        });
         let extra = self.options.extra / f64::from(instances.max(1));
         let allowed = USABLE_SHARE * (self.options.ratio * f64::from(requests) + extra);
-        let is_allowed = f64::from(retries) + 1.0 <= allowed;
+        f64::from(retries) + 1.0 <= allowed
+    }
+
+    /// Takes one retry from the budget, if [`Self::has_room`].
+    pub fn take(&mut self, service: &ServiceName, instances: u32, now: MonoTime) -> bool {
+        let is_allowed = self.has_room(service, instances, now);
         if is_allowed {
             self.interval(service, now).retries += 1;
         }
--- a/kwg-gate/src/peer/relay_election.rs
+++ b/kwg-gate/src/peer/relay_election.rs
@@ -16,8 +16,9 @@
 
 /// Finds the relay of a large failure domain, as one instance sees it.
 ///
-/// Candidates are ranked by name. An instance acts as relay when all candidates before it are
-/// silent, and stops when it hears of an earlier one that acts.
+/// Candidates are ranked by name. An instance acts as relay when no relay sends views and all
+/// candidates before it are silent, and stops when an earlier one acts as well. A relay stays in
+/// office when an earlier candidate returns.
 ///
 /// ```
 /// use std::time::Duration;
--- a/kwg-gate/src/session/attempt_permit.rs
+++ b/kwg-gate/src/session/attempt_permit.rs
@@ -83,6 +83,12 @@
 }
 
 impl OpenAttempt {
+    /// Whether the request may be sent to another target although this one may have run it.
+    #[must_use]
+    pub fn may_run_again(&self) -> bool {
+        self.0.kind.is_retryable() && self.0.runs_left > 1 && self.0.sends_left > 1
+    }
+
     /// Ends the attempt with the evidence of what happened.
     ///
     /// ```
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -126,6 +126,13 @@
         &self.state.placement
     }
 
+    /// Whether the request may be sent to another target now although this one may have run it.
+    #[must_use]
+    pub fn may_retry(&self, core: &GateCore, now: MonoTime) -> bool {
+        let Dispatched { plan, open, placement } = &self.state;
+        open.may_run_again() && core.may_resend(&self.details, plan, placement.target, now)
+    }
+
     /// Ends the attempt without a complete answer and decides what follows.
     pub fn close(
         self,
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -133,15 +133,15 @@
     ) -> u32 {
         let free = self.entry.slots.saturating_sub(self.load());
         let domain = InstanceMap::domain_peer_name(&self.entry.domain);
-        let domain_waits = has_waiting(&domain);
+        let domain_waits = || has_waiting(&domain);
         let wanted = |(owner, owned): &(String, u32)| match has_waiting(owner) {
             Some(true) => {
                 let running = self.reports.get(owner).map_or(0, |(_, report)| report.running);
                 owned.saturating_sub(u32::from(running))
             }
             Some(false) => 0,
-            None if is_local && domain_waits.is_some() => 0,
-            None if domain_waits == Some(false) => 0,
+            None if is_local && domain_waits().is_some() => 0,
+            None if domain_waits() == Some(false) => 0,
             None => *owned,
         };
         free.saturating_sub(self.owners.iter().map(wanted).sum())
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -109,10 +109,10 @@
         }
         for (number, domain) in DOMAINS.iter().enumerate() {
             if now_ms % DOMAIN_SUM_MS == number as u64 * 100 {
-                let mut sum = GateDigest::default();
                 let members =
                     last_digests.iter().filter(|(index, _)| instances[**index].1 == *domain);
-                members.for_each(|(_, digest)| sum.add(digest));
+                let sum =
+                    GateDigest::sum(&GateDigest::default(), members.map(|(_, digest)| digest));
                 for (to, _) in
                     instances.iter().enumerate().filter(|(_, tracker)| tracker.1 != *domain)
                 {
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -68,8 +68,9 @@
             Ok(listener) => local.spawn(serve_metrics(listener, self.metrics)).detach(),
             Err(error) => log::error!("event=listen-failed error=\"{error}\""),
         }
-        let peers = PeerHandler::new(&state, wakeups);
-        local.spawn(peers.run(Arc::clone(&shared), self.reports, changed)).detach();
+        let (joining, executor) = (Rc::clone(&state), Arc::clone(&shared));
+        let peers = PeerHandler::run(joining, wakeups, executor, self.reports, changed);
+        local.spawn(peers).detach();
         let (leaving, ending) = (self.leaving, self.ending);
         block_on(local.run(shared.run(async {
             wait_closed(&leaving).await;
--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -2,10 +2,12 @@
 
 mod control_state;
 mod control_thread;
+mod digest_handler;
 mod instance_directory;
 mod metrics_server;
 mod move_handler;
 mod peer_handler;
+mod peer_outbox;
 mod store_link;
 mod table_feed;
 mod table_mirror;
--- a/kwg-gateway/src/socket/http_call.rs
+++ b/kwg-gateway/src/socket/http_call.rs
@@ -1,6 +1,6 @@
 use std::io;
 
-use kwg_h1::{BodyDecoder, ReplyHead};
+use kwg_h1::{BodyDecoder, BodyFraming, ReplyHead};
 
 use super::SocketReader;
 
@@ -22,26 +22,63 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     };
-    let (mut decoder, mut body) = (BodyDecoder::new(head.framing), Vec::new());
+    let mut body = Vec::new();
+    read_body(reader, head.framing, |part| {
+        body.extend_from_slice(part);
+        body.len() <= MAX_BODY
+    })
+    .await?;
+    Ok((head, body))
+}
+
+/// Reads a body to its end and passes its parts to `accept`, which returns whether to go on.
+///
+/// # Errors
+/// As [`read_reply`]; `FileTooLarge` if `accept` has returned false before the end.
+pub(crate) async fn read_body(
+    reader: &mut SocketReader<'_>,
+    framing: BodyFraming,
+    mut accept: impl FnMut(&[u8]) -> bool,
+) -> io::Result<()> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut part = Vec::new();
     loop {
-        let used = decoder.decode(reader.inbox(), &mut body).map_err(invalid)?;
+        part.clear();
+        let used = decoder.decode(reader.inbox(), &mut part).map_err(invalid)?;
         reader.consume(used);
+        let is_accepted = accept(&part);
         if decoder.is_done() {
-            return Ok((head, body));
+            return Ok(());
         }
-        if body.len() > MAX_BODY {
+        if !is_accepted {
             return Err(io::ErrorKind::FileTooLarge.into());
         }
         if reader.fill().await? == 0 {
-            return if decoder.is_complete_at_close() {
-                Ok((head, body))
-            } else {
-                Err(io::ErrorKind::UnexpectedEof.into())
+            return match decoder.is_complete_at_close() {
+                true => Ok(()),
+                false => Err(io::ErrorKind::UnexpectedEof.into()),
             };
         }
     }
 }
 
+/// Reads a body of at most `limit` bytes and drops it.
+///
+/// # Errors
+/// As [`read_body`]; `FileTooLarge` beyond the limit.
+pub(crate) async fn skip_body(
+    reader: &mut SocketReader<'_>,
+    framing: BodyFraming,
+    limit: usize,
+) -> io::Result<()> {
+    let mut length = 0;
+    read_body(reader, framing, |part| {
+        length += part.len();
+        length <= limit
+    })
+    .await
+}
+
 fn invalid(error: kwg_h1::HeadError) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
--- a/kwg-gateway/src/traffic/answer_relay.rs
+++ b/kwg-gateway/src/traffic/answer_relay.rs
@@ -2,7 +2,7 @@
 use kwg_gate::FinalOutcome;
 use kwg_h1::{HeadWriter, ReplyHead};
 
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, EventTooLong};
 use crate::socket::SocketWriter;
 
 /// Writes the answer of one request to its caller.
@@ -14,6 +14,21 @@
     splitter: EventSplitter,
 }
 
+/// Why events were not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RelayError {
+    /// The target sends an event without end.
+    EventTooLong(EventTooLong),
+    /// The caller's connection has failed.
+    CallerDisconnected,
+}
+
+impl From<CallerDisconnected> for RelayError {
+    fn from(_: CallerDisconnected) -> Self {
+        Self::CallerDisconnected
+    }
+}
+
 /// The caller's connection has failed, or cannot be used further because part of an answer was
 /// sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,8 +73,8 @@
         &mut self,
         head: &ReplyHead,
         bytes: &[u8],
-    ) -> Result<bool, CallerDisconnected> {
-        let events = self.splitter.push(bytes);
+    ) -> Result<bool, RelayError> {
+        let events = self.splitter.push(bytes).map_err(RelayError::EventTooLong)?;
         if events.is_empty() {
             return Ok(false);
         }
--- a/kwg-gateway/src/traffic/event_splitter.rs
+++ b/kwg-gateway/src/traffic/event_splitter.rs
@@ -1,39 +1,93 @@
-/// Splits an event stream at blank lines (LF LF) and tracks the id of the last complete event.
-/// Streams whose lines end in CRLF are not split.
+use std::fmt;
+
+/// Maximum length of one event, in bytes; events of tokens are far shorter.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Splits an event stream at blank lines and tracks the id of the last complete event. Lines end in
+/// LF, CR LF or CR.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     pending: Vec<u8>,
+    /// Number of bytes at the start of `pending` that have been searched.
+    searched: usize,
+    /// Whether the bytes before `searched` end in a line end, so that another one ends the event.
+    at_line_start: bool,
     last_id: Option<String>,
     count: u64,
 }
 
+/// An event is longer than the limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event of more than {MAX_EVENT_BYTES} bytes")
+    }
+}
+
 impl EventSplitter {
     /// Appends bytes and returns all complete events; an incomplete one stays buffered.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    /// [`EventTooLong`] if the incomplete event exceeds the limit.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
         self.pending.extend_from_slice(bytes);
-        let end = match self.pending.windows(2).rposition(|two| two == b"\n\n") {
-            Some(at) => at + 2,
-            None => return Vec::new(),
-        };
+        let mut end = 0;
+        while let Some((line_end, length)) = self.next_line_end() {
+            let is_blank = self.at_line_start && line_end == self.searched;
+            self.searched = line_end + length;
+            self.at_line_start = !is_blank;
+            if is_blank {
+                end = self.searched;
+                self.count += 1;
+            }
+        }
         let rest = self.pending.split_off(end);
         let whole = std::mem::replace(&mut self.pending, rest);
-        for line in whole.split(|byte| *byte == b'\n') {
+        self.searched -= end;
+        for line in whole.split(|byte| matches!(byte, b'\n' | b'\r')) {
             if let Some(id) = line.strip_prefix(b"id:") {
                 self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
             }
         }
-        self.count += whole.windows(2).filter(|two| two == b"\n\n").count() as u64;
-        whole
+        match self.pending.len() > MAX_EVENT_BYTES {
+            true => Err(EventTooLong),
+            false => Ok(whole),
+        }
+    }
+
+    /// Position and length of the next line end. A CR at the end of the buffer may belong to a CR LF
+    /// and is left for later. Bytes without a line end are not searched again.
+    fn next_line_end(&mut self) -> Option<(usize, usize)> {
+        let rest = &self.pending[self.searched..];
+        let Some(at) = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r')) else {
+            self.at_line_start &= rest.is_empty();
+            self.searched = self.pending.len();
+            return None;
+        };
+        let length = match (rest[at], rest.get(at + 1)) {
+            (b'\n', _) => 1,
+            (_, Some(b'\n')) => 2,
+            (_, Some(_)) => 1,
+            (_, None) => {
+                self.at_line_start &= at == 0;
+                self.searched += at;
+                return None;
+            }
+        };
+        Some((self.searched + at, length))
     }
 
     /// Takes the buffered bytes of an incomplete event, which the end of the answer completes.
     pub(crate) fn take_rest(&mut self) -> Vec<u8> {
+        (self.searched, self.at_line_start) = (0, false);
         std::mem::take(&mut self.pending)
     }
 
     /// Drops an incomplete event, which the next attempt sends again.
     pub(crate) fn drop_rest(&mut self) {
-        self.pending.clear();
+        drop(self.take_rest());
     }
 
     /// The id of the last complete event that had one.
@@ -46,3 +100,7 @@
         self.count
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/event_splitter.rs"]
+mod tests;
--- a/kwg-gateway/src/traffic/front_connection.rs
+++ b/kwg-gateway/src/traffic/front_connection.rs
@@ -10,6 +10,7 @@
 use kwg_model::MonoTime;
 
 use super::answer_relay::AnswerRelay;
+use super::counted_body::CountedBody;
 use super::request_pipeline::{PipelineEnd, RequestPipeline};
 use super::traffic_state::TrafficState;
 use crate::socket::{ByteSocket, SocketReader};
@@ -41,18 +42,6 @@
     Closed,
 }
 
-/// A request body whose bytes count towards the process's limit until it is dropped.
-struct CountedBody {
-    state: Rc<TrafficState>,
-    bytes: Vec<u8>,
-}
-
-impl Drop for CountedBody {
-    fn drop(&mut self) {
-        self.state.body_bytes.set(self.state.body_bytes.get().saturating_sub(self.bytes.len()));
-    }
-}
-
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard(Rc<TrafficState>);
 
@@ -108,7 +97,7 @@
             }
             return false;
         }
-        let pipeline = RequestPipeline { state: &self.state, head: &head, body: &body.bytes };
+        let pipeline = RequestPipeline { state: &self.state, head: &head, body: body.bytes() };
         let id = details.id.clone();
         let disconnect = async {
             reader.wait_closed(READ_AHEAD).await;
@@ -167,21 +156,22 @@
         max_bytes: usize,
     ) -> Result<CountedBody, ReadError> {
         let mut decoder = BodyDecoder::new(head.framing);
-        let mut body = CountedBody { state: Rc::clone(&self.state), bytes: Vec::new() };
+        let mut body = CountedBody::new(&self.state);
         if matches!(head.framing, kwg_h1::BodyFraming::Length(length) if length > max_bytes as u64)
         {
             return Err(ReadError::Rejected(CallerFault::BodyTooLarge));
         }
+        let mut part = Vec::new();
         loop {
-            let before = body.bytes.len();
-            let decoded = decoder.decode(reader.inbox(), &mut body.bytes);
-            self.state.body_bytes.set(self.state.body_bytes.get() + body.bytes.len() - before);
+            part.clear();
+            let decoded = decoder.decode(reader.inbox(), &mut part);
             let used = decoded.map_err(|_| ReadError::Rejected(CallerFault::Malformed))?;
             reader.consume(used);
-            if body.bytes.len() > max_bytes {
+            let has_room = body.push(&part);
+            if body.bytes().len() > max_bytes {
                 return Err(ReadError::Rejected(CallerFault::BodyTooLarge));
             }
-            if self.state.body_bytes.get() > self.state.max_body_bytes {
+            if !has_room {
                 return Err(ReadError::Rejected(CallerFault::NoRoom));
             }
             if decoder.is_done() {
--- /dev/null
+++ b/kwg-gateway/src/traffic/reply_reader.rs
@@ -0,0 +1,125 @@
+use std::fmt::Display;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use kwg_adapter::{ReplyKind, TargetCodec};
+use kwg_gate::{AttemptEvidence, Dispatched, GateSession};
+use kwg_h1::ReplyHead;
+use kwg_telemetry::EventLine;
+
+use super::counted_body::CountedBody;
+use super::traffic_state::TrafficState;
+use crate::socket::{SocketReader, read_body, skip_body};
+
+/// Maximum number of replies to other requests that are skipped on one connection.
+const MAX_FOREIGN_REPLIES: usize = 3;
+/// Maximum number of interim replies (1xx) before the final one.
+const MAX_INTERIM_REPLIES: usize = 8;
+/// Maximum length of a body that is skipped so that its connection can be used again, in bytes.
+const MAX_SKIPPED_BODY: usize = 64 << 10;
+/// Time limit for skipping the body of a reply that has been understood by its head.
+const SKIP_LIMIT: Duration = Duration::from_millis(100);
+/// Maximum length of a buffered answer, in bytes.
+const MAX_WHOLE_ANSWER: usize = 8 << 20;
+
+/// Reads the reply of one attempt's target. Whatever the target sends, the memory that it takes is
+/// bounded.
+#[derive(Debug)]
+pub(crate) struct ReplyReader<'a, 's> {
+    pub(crate) state: &'a Rc<TrafficState>,
+    pub(crate) session: &'a GateSession<Dispatched>,
+    pub(crate) reader: SocketReader<'s>,
+    /// Whether the connection has carried an earlier request, to which a late reply may belong.
+    pub(crate) is_reused: bool,
+}
+
+impl ReplyReader<'_, '_> {
+    /// Reads the head of the reply to this request; skips interim replies and replies to other
+    /// requests.
+    pub(crate) async fn read_head(&mut self) -> Result<(ReplyHead, ReplyKind), AttemptEvidence> {
+        let (mut interim, mut foreign) = (0, 0);
+        loop {
+            let (head, used) = match ReplyHead::parse(self.reader.inbox()) {
+                Ok(Some(parsed)) => parsed,
+                Ok(None) => match self.reader.fill().await {
+                    Ok(0) => return Err(self.cut("the connection ended before a reply")),
+                    Ok(_) => continue,
+                    Err(error) => return Err(self.cut(error)),
+                },
+                Err(error) => return Err(self.reject(error)),
+            };
+            self.reader.consume(used);
+            if head.status < 200 {
+                interim += 1;
+                if interim > MAX_INTERIM_REPLIES {
+                    return Err(self.reject("too many interim replies"));
+                }
+                continue;
+            }
+            let kind = TargetCodec::classify(&head, &self.session.details().id, self.is_reused);
+            if kind != ReplyKind::Foreign {
+                return Ok((head, kind));
+            }
+            foreign += 1;
+            if foreign > MAX_FOREIGN_REPLIES {
+                return Err(self.reject("replies to other requests"));
+            }
+            let skipped = skip_body(&mut self.reader, head.framing, MAX_SKIPPED_BODY).await;
+            skipped.map_err(|error| self.cut(format_args!("reply to another request: {error}")))?;
+        }
+    }
+
+    /// Reads the body of a reply that is passed on whole.
+    pub(crate) async fn read_whole(
+        &mut self,
+        head: &ReplyHead,
+    ) -> Result<CountedBody, AttemptEvidence> {
+        let mut body = CountedBody::new(self.state);
+        let read = read_body(&mut self.reader, head.framing, |part| {
+            body.push(part) && body.bytes().len() <= MAX_WHOLE_ANSWER
+        })
+        .await;
+        match read {
+            Ok(()) => Ok(body),
+            Err(error) if error.kind() == io::ErrorKind::FileTooLarge => {
+                let length = body.bytes().len();
+                Err(self.reject(format_args!("no room for a body of more than {length} bytes")))
+            }
+            Err(error) => Err(self.cut(format_args!("in the body: {error}"))),
+        }
+    }
+
+    /// Skips the body of a reply that says all in its head; returns whether it has ended, so that
+    /// the connection can be used again.
+    pub(crate) async fn skip_rest(&mut self, head: &ReplyHead) -> bool {
+        let timeout = async {
+            self.state.clock.sleep(SKIP_LIMIT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        skip_body(&mut self.reader, head.framing, MAX_SKIPPED_BODY).or(timeout).await.is_ok()
+    }
+
+    /// Logs that the target's bytes are not a valid reply.
+    pub(crate) fn reject(&self, reason: impl Display) -> AttemptEvidence {
+        self.log_rejected(AttemptEvidence::BadAnswer, reason)
+    }
+
+    /// Logs that the reply broke off.
+    pub(crate) fn cut(&self, reason: impl Display) -> AttemptEvidence {
+        self.log_rejected(AttemptEvidence::Cut, reason)
+    }
+
+    fn log_rejected(&self, evidence: AttemptEvidence, reason: impl Display) -> AttemptEvidence {
+        let core = self.state.core.borrow();
+        let target = core.targets().entry(self.session.placement().target);
+        let line = EventLine::new("reply-rejected")
+            .field("id", &self.session.details().id)
+            .field("target", target.map_or("gone", |entry| entry.id.as_str()))
+            .field("evidence", evidence.as_str())
+            .field("reason", reason);
+        log::info!("{line}");
+        evidence
+    }
+}
--- a/kwg-gateway/src/traffic/request_pipeline.rs
+++ b/kwg-gateway/src/traffic/request_pipeline.rs
@@ -11,6 +11,7 @@
 
 use super::answer_relay::AnswerRelay;
 use super::attempt_report::AttemptReport;
+use super::counted_body::CountedBody;
 use super::target_attempt::TargetAttempt;
 use super::traffic_state::TrafficState;
 use super::wait_notifier::WaitNotifier;
@@ -51,7 +52,7 @@
             Err(outcome) => return self.send_final(outcome, &details, relay).await,
         };
         // The failure reply of a target, sent to the caller if no other attempt is answered.
-        let mut failure: Option<(ReplyHead, Vec<u8>)> = None;
+        let mut failure: Option<(ReplyHead, CountedBody)> = None;
         loop {
             let dispatched = match self.allocate_slot(session).await {
                 Ok(placed) => placed.dispatch(),
@@ -121,13 +122,13 @@
         &self,
         outcome: FinalOutcome,
         details: &RequestDetails,
-        failure: Option<(ReplyHead, Vec<u8>)>,
+        failure: Option<(ReplyHead, CountedBody)>,
         relay: &mut AnswerRelay<'_>,
     ) -> PipelineEnd {
         match failure {
             Some((head, body)) if !relay.has_begun() => {
                 self.state.metrics.record_refusal("target-failure");
-                match relay.send_whole(&head, &body).await {
+                match relay.send_whole(&head, body.bytes()).await {
                     Ok(()) => PipelineEnd::Complete,
                     Err(_) => PipelineEnd::Broken,
                 }
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -7,11 +7,12 @@
 use kwg_h1::{BodyDecoder, ReplyHead, RequestHead};
 use kwg_model::MonoTime;
 
-use super::answer_relay::{AnswerRelay, CallerDisconnected};
+use super::answer_relay::{AnswerRelay, CallerDisconnected, RelayError};
 use super::attempt_guard::AttemptGuard;
 use super::attempt_report::AttemptReport;
+use super::reply_reader::ReplyReader;
 use super::traffic_state::TrafficState;
-use crate::socket::{ByteSocket, SocketReader, read_reply};
+use crate::socket::ByteSocket;
 
 /// Time limit for connecting to a target. A round trip between regions takes 24 ms, and one lost
 /// packet costs a second.
@@ -21,13 +22,11 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 /// Minimum silence before the reply's head after which a retryable request is retried elsewhere.
 const ANSWER_SILENCE: Duration = Duration::from_millis(1_200);
+/// How often it is checked whether a request whose target is silent may be sent to another one.
+const SILENCE_CHECK: Duration = Duration::from_millis(200);
 /// Multiple of the predicted time after which a retryable request without a reply is retried
 /// elsewhere.
 const SILENCE_FACTOR: u32 = 4;
-/// Maximum number of replies to other requests that are skipped on one connection.
-const MAX_FOREIGN_REPLIES: usize = 3;
-/// Maximum length of a buffered answer, in bytes.
-const MAX_WHOLE_ANSWER: usize = 8 << 20;
 
 /// One attempt: sends the request to one target and relays the answer to the caller.
 #[derive(Debug)]
@@ -79,11 +78,12 @@
         let tokens = self.session.details().tokens.map_or(0, |tokens| tokens.prompt);
         let guard = AttemptGuard::new(self.state, target, tokens);
         let started = self.state.clock.now();
-        let mut socket = self.connect().await?;
+        let (mut socket, is_reused) = self.connect().await?;
         let request = self.encode(relay)?;
-        let (mut reader, writer) = socket.split();
+        let (reader, writer) = socket.split();
+        let mut reply = ReplyReader { state: self.state, session: self.session, reader, is_reused };
         let mut is_written = false;
-        let head = {
+        let (head, reply_kind) = {
             let write = async {
                 let written = writer.write(&request).await;
                 is_written = written.is_ok();
@@ -95,41 +95,43 @@
                 }
             };
             let silence = async {
-                self.state.clock.sleep(self.answer_silence()).await;
+                self.wait_silence(self.state.clock.now(), self.answer_silence()).await;
                 Err(AttemptEvidence::Silent)
             };
-            self.read_head(&mut reader).or(write).or(silence).await?
+            reply.read_head().or(write).or(silence).await?
         };
-        let reply_kind = TargetCodec::classify(&head, &self.session.details().id);
         let mut sample = AttemptSample {
             tokens_per_event: self.session.tokens_per_event(),
             ..AttemptSample::default()
         };
+        let mut is_at_end = true;
         let report = match (reply_kind, self.session.kind()) {
             (ReplyKind::Answer, RequestKind::Stream { .. }) => {
-                let pace = self.relay_stream(&head, &mut reader, relay, &guard).await?;
+                let pace = self.relay_stream(&head, &mut reply, relay, &guard).await?;
                 pace.fill_sample(started, &mut sample);
                 AttemptReport::Answered(sample)
             }
             (ReplyKind::Answer, _) => {
-                let body = self.read_whole(&head, &mut reader).await?;
-                relay.send_whole(&head, &body).await?;
+                let body = reply.read_whole(&head).await?;
+                relay.send_whole(&head, body.bytes()).await?;
                 AttemptReport::Answered(sample)
             }
             (ReplyKind::Failure, _) => {
-                let body = self.read_whole(&head, &mut reader).await?;
+                let body = reply.read_whole(&head).await?;
                 AttemptReport::Failed(head.clone(), body)
             }
             (ReplyKind::Declined, _) => {
-                self.read_whole(&head, &mut reader).await?;
+                is_at_end = reply.skip_rest(&head).await;
                 AttemptReport::Ended(AttemptEvidence::Declined)
             }
             (ReplyKind::Foreign | ReplyKind::Unusable, _) => {
-                return Err(AttemptEvidence::BadAnswer.into());
+                let reason = format_args!("status {} is no valid answer", head.status);
+                return Err(reply.reject(reason).into());
             }
         };
         drop(guard);
-        if head.keeps_alive && is_written && reader.inbox().is_empty() {
+        let is_empty = reply.reader.inbox().is_empty();
+        if head.keeps_alive && is_written && is_at_end && is_empty {
             self.keep(socket, &head);
         }
         let report = match report {
@@ -142,8 +144,9 @@
         Ok(report)
     }
 
-    /// Takes an idle connection that may carry this request, or opens a new one.
-    async fn connect(&self) -> Result<ByteSocket, AttemptEvidence> {
+    /// Takes an idle connection that may carry this request, or opens a new one; returns whether it
+    /// has carried a request before.
+    async fn connect(&self) -> Result<(ByteSocket, bool), AttemptEvidence> {
         let target = self.session.placement().target;
         let now = self.state.clock.now();
         let is_retryable = self.session.kind().is_retryable();
@@ -151,15 +154,16 @@
         let idle = self.state.pool.borrow().count(target);
         self.state.core.borrow_mut().targets_mut().record_idle_connections(target, idle);
         if let Some(socket) = idle_socket {
-            return Ok(socket);
+            return Ok((socket, true));
         }
         let address = self.state.core.borrow().targets().entry(target).map(|entry| entry.address);
         let address = address.ok_or(AttemptEvidence::NotSent)?;
         self.state.metrics.record_connect();
-        ByteSocket::connect(address, CONNECT_LIMIT).await.map_err(|error| {
+        let socket = ByteSocket::connect(address, CONNECT_LIMIT).await.map_err(|error| {
             log::debug!("event=connect-failed address={address} error={error}");
             AttemptEvidence::NotSent
-        })
+        })?;
+        Ok((socket, false))
     }
 
     /// Returns the connection to the pool.
@@ -187,108 +191,73 @@
         Ok(TargetCodec::encode(self.head, self.body, &call))
     }
 
-    /// How long to wait for the reply's head before the attempt ends as silent. Practically
-    /// unlimited for a request that must not be repeated.
+    /// How long to wait for the reply's head before the attempt may end as silent.
     fn answer_silence(&self) -> Duration {
-        if !self.session.kind().is_retryable() {
-            return Duration::MAX / 4;
-        }
         let predicted = self.session.placement().expected * SILENCE_FACTOR;
         predicted.max(self.session.target_latency() * 2).max(ANSWER_SILENCE)
     }
 
-    /// Reads the head of the reply to this request; skips replies to other requests.
-    async fn read_head(&self, reader: &mut SocketReader<'_>) -> Result<ReplyHead, AttemptEvidence> {
-        let mut skipped = 0;
-        loop {
-            match ReplyHead::parse(reader.inbox()) {
-                Ok(Some((head, used))) if head.status < 200 => reader.consume(used),
-                Ok(Some((head, used))) => {
-                    let reply_kind = TargetCodec::classify(&head, &self.session.details().id);
-                    if reply_kind != ReplyKind::Foreign || skipped >= MAX_FOREIGN_REPLIES {
-                        reader.consume(used);
-                        return Ok(head);
-                    }
-                    skipped += 1;
-                    read_reply(reader).await.map_err(|_| AttemptEvidence::Cut)?;
-                }
-                Ok(None) => match reader.fill().await {
-                    Ok(0) | Err(_) => return Err(AttemptEvidence::Cut),
-                    Ok(_) => {}
-                },
-                Err(_) => return Err(AttemptEvidence::BadAnswer),
-            }
+    /// Waits until `limit` has passed since `start` and the request may be sent to another target.
+    /// As long as it may not, a silent target is the only one that can still answer.
+    async fn wait_silence(&self, start: MonoTime, limit: Duration) {
+        let clock = &self.state.clock;
+        if !self.session.kind().is_retryable() {
+            std::future::pending::<()>().await;
         }
-    }
-
-    async fn read_whole(
-        &self,
-        head: &ReplyHead,
-        reader: &mut SocketReader<'_>,
-    ) -> Result<Vec<u8>, AttemptEvidence> {
-        let (mut decoder, mut body) = (BodyDecoder::new(head.framing), Vec::new());
-        loop {
-            let used =
-                decoder.decode(reader.inbox(), &mut body).map_err(|_| AttemptEvidence::Cut)?;
-            reader.consume(used);
-            if decoder.is_done() {
-                return Ok(body);
-            }
-            match reader.fill().await {
-                Ok(0) if decoder.is_complete_at_close() => return Ok(body),
-                Ok(count) if count > 0 && body.len() <= MAX_WHOLE_ANSWER => {}
-                _ => return Err(AttemptEvidence::Cut),
-            }
+        clock.sleep_until(start + limit).await;
+        while !self.session.may_retry(&self.state.core.borrow(), clock.now()) {
+            clock.sleep(SILENCE_CHECK).await;
         }
     }
 
-    /// Relays a stream to the caller, event by event.
+    /// Relays a stream to the caller, event by event. Bytes that complete no event do not count as
+    /// a sign of life.
     async fn relay_stream(
         &self,
         head: &ReplyHead,
-        reader: &mut SocketReader<'_>,
+        reply: &mut ReplyReader<'_, '_>,
         relay: &mut AnswerRelay<'_>,
         guard: &AttemptGuard,
     ) -> Result<EventPace, AttemptStop> {
         let mut decoder = BodyDecoder::new(head.framing);
         let mut pace = EventPace::default();
         let (clock, before) = (&self.state.clock, relay.event_count());
+        let started = clock.now();
+        let mut bytes = Vec::new();
         loop {
-            let mut bytes = Vec::new();
-            let decoded = decoder.decode(reader.inbox(), &mut bytes);
-            let used = decoded.map_err(|_| AttemptEvidence::Cut)?;
-            reader.consume(used);
-            if relay.send_events(head, &bytes).await? {
+            bytes.clear();
+            let decoded = decoder.decode(reply.reader.inbox(), &mut bytes);
+            let used = decoded.map_err(|error| reply.cut(error))?;
+            reply.reader.consume(used);
+            let has_events = match relay.send_events(head, &bytes).await {
+                Ok(has_events) => has_events,
+                Err(RelayError::EventTooLong(error)) => return Err(reply.reject(error).into()),
+                Err(RelayError::CallerDisconnected) => return Err(AttemptStop::CallerDisconnected),
+            };
+            if has_events {
                 guard.record_prompt_read();
                 pace.record_event(clock.now());
             }
             if decoder.is_done() {
                 break;
             }
+            let last = pace.last.unwrap_or(started);
             let silence = async {
-                clock.sleep(self.stream_silence()).await;
+                self.wait_silence(last, STREAM_SILENCE).await;
                 Err(AttemptEvidence::Silent)
             };
-            let fill = async { reader.fill().await.map_err(|_| AttemptEvidence::Cut) };
+            let fill = async { Ok(reply.reader.fill().await) };
             match fill.or(silence).await? {
-                0 if decoder.is_complete_at_close() => break,
-                0 => return Err(AttemptEvidence::Cut.into()),
-                _ => {}
+                Ok(0) if decoder.is_complete_at_close() => break,
+                Ok(0) => return Err(reply.cut("the connection ended within a stream").into()),
+                Ok(_) => {}
+                Err(error) => return Err(reply.cut(error).into()),
             }
         }
         relay.finish_events(head).await?;
         pace.events = relay.event_count() - before;
         Ok(pace)
     }
-
-    /// How long to wait for more bytes of a stream before the attempt ends as silent. Practically
-    /// unlimited for a stream that must not be resumed.
-    fn stream_silence(&self) -> Duration {
-        match self.session.kind().is_retryable() {
-            true => STREAM_SILENCE,
-            false => Duration::MAX / 4,
-        }
-    }
 }
 
 /// Number and times of the events of one attempt's stream.
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -25,7 +25,7 @@
     pub(crate) is_front_closed: Cell<bool>,
     /// Number of open connections of callers.
     pub(crate) open_connections: Cell<usize>,
-    /// Bytes of all request bodies that are held in memory.
+    /// Bytes of all bodies of requests and answers that are held in memory.
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) max_connections: usize,
     pub(crate) max_body_bytes: usize,
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -45,7 +45,7 @@
 
 impl TrafficThread {
     /// Serves requests until [`TrafficInput::CloseIdle`] has been received and all connections have
-    /// closed. Request bodies may hold a quarter of the process's memory limit.
+    /// closed. Buffered bodies may hold a quarter of the process's memory limit.
     pub(crate) fn run(self) {
         let core = GateCore::new(self.settings.gate.clone());
         let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(32);
--- /dev/null
+++ b/kwg-gateway/tests/unit/event_splitter.rs
@@ -0,0 +1,61 @@
+use std::time::{Duration, Instant};
+
+use super::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+
+const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\rdata: c\r\r"];
+
+#[test]
+fn events_with_any_line_ends_are_split() {
+    for event in EVENTS {
+        let mut splitter = EventSplitter::default();
+        let mut bytes = event.as_bytes().to_vec();
+        // A CR that ends the buffer may be followed by LF, so the next event's first byte decides.
+        bytes.push(b'd');
+        let whole = splitter.push(&bytes).expect("short");
+        assert_eq!(String::from_utf8_lossy(&whole), event);
+        assert_eq!(splitter.count(), 1);
+        assert!(splitter.last_id().is_some_and(|id| event.contains(id)));
+    }
+}
+
+#[test]
+fn the_split_does_not_depend_on_how_the_bytes_arrive() {
+    let text: String = EVENTS.concat() + "data: rest";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut whole = Vec::new();
+        for part in text.as_bytes().chunks(size) {
+            whole.extend(splitter.push(part).expect("short"));
+        }
+        assert_eq!(String::from_utf8_lossy(&whole), EVENTS.concat(), "parts of {size} bytes");
+        assert_eq!((splitter.count(), splitter.last_id()), (3, Some("3")));
+        assert_eq!(splitter.take_rest(), b"data: rest");
+    }
+}
+
+#[test]
+fn a_blank_line_alone_ends_an_event_only_after_a_line() {
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.push(b"data: x").expect("short").is_empty());
+    splitter.drop_rest();
+    assert!(splitter.push(b"\ndata: y\n").expect("short").is_empty());
+    assert_eq!(splitter.push(b"\n").expect("short"), b"\ndata: y\n\n");
+}
+
+#[test]
+fn a_stream_without_a_blank_line_is_rejected_at_the_limit_in_linear_time() {
+    let mut splitter = EventSplitter::default();
+    let started = Instant::now();
+    let mut pushed = 0;
+    let result = loop {
+        match splitter.push(b"x") {
+            Ok(whole) => assert!(whole.is_empty()),
+            Err(error) => break error,
+        }
+        pushed += 1;
+        assert!(pushed <= MAX_EVENT_BYTES, "buffered without bound");
+    };
+    assert_eq!(result, EventTooLong);
+    // Searching the whole buffer for each byte takes minutes.
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
--- a/kwg-h1/src/body_decoder.rs
+++ b/kwg-h1/src/body_decoder.rs
@@ -3,6 +3,8 @@
 
 /// Maximum number of bytes searched for the end of a chunk size line or trailer line.
 const MAX_CHUNK_LINE: usize = 4 << 10;
+/// Maximum length of all trailer lines of a body together, in bytes.
+const MAX_TRAILER: usize = 8 << 10;
 
 /// Incremental decoder that extracts a body from the bytes of a connection.
 ///
@@ -28,8 +30,9 @@
     ChunkData(u64),
     /// Before the line end after a chunk's data.
     ChunkEnd,
-    /// After the last chunk, before a trailer line or the empty line that ends the body.
-    Trailer,
+    /// After the last chunk, before a trailer line or the empty line that ends the body; with the
+    /// length of the trailer lines so far.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -61,8 +64,8 @@
     /// Decodes `bytes` and appends the content to `body`. Returns how many bytes were consumed.
     ///
     /// # Errors
-    /// [`HeadError`] for an invalid chunk, or if more than 4 KiB do not contain the end of a chunk
-    /// size line or trailer line.
+    /// [`HeadError`] for an invalid chunk, if more than 4 KiB do not contain the end of a chunk size
+    /// line or trailer line, or for more than 8 KiB of trailer lines.
     pub fn decode(&mut self, bytes: &[u8], body: &mut Vec<u8>) -> Result<usize, HeadError> {
         let mut used = 0;
         loop {
@@ -89,7 +92,7 @@
                         return Ok(used);
                     }
                 }
-                BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailer => {
+                BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailer(_) => {
                     let Some(line) = next_line(rest)? else { return Ok(used) };
                     used += line.len() + 2;
                     self.0 = self.state_after_line(line)?;
@@ -101,10 +104,13 @@
     fn state_after_line(&self, line: &[u8]) -> Result<BodyState, HeadError> {
         match (self.0, line.is_empty()) {
             (BodyState::ChunkEnd, true) => Ok(BodyState::ChunkSize),
-            (BodyState::Trailer, true) => Ok(BodyState::Done),
-            (BodyState::Trailer, false) => Ok(BodyState::Trailer),
+            (BodyState::Trailer(_), true) => Ok(BodyState::Done),
+            (BodyState::Trailer(length), false) if length + line.len() > MAX_TRAILER => {
+                TooLargeSnafu.fail()
+            }
+            (BodyState::Trailer(length), false) => Ok(BodyState::Trailer(length + line.len())),
             (BodyState::ChunkSize, false) => match parse_chunk_size(line)? {
-                0 => Ok(BodyState::Trailer),
+                0 => Ok(BodyState::Trailer(0)),
                 size => Ok(BodyState::ChunkData(size)),
             },
             _ => BadChunkSnafu.fail(),
--- a/kwg-standin/src/lib.rs
+++ b/kwg-standin/src/lib.rs
@@ -19,4 +19,6 @@
 pub use plain_service::ServiceStandin;
 pub use platform::PlatformStandin;
 pub use reference_answer::ReferenceAnswer;
-pub use wire::{ReceivedRequest, RunnerMode, RunnerStandin, SampleFleet, StoreMode, StoreStandin};
+pub use wire::{
+    EndlessReply, ReceivedRequest, RunnerMode, RunnerStandin, SampleFleet, StoreMode, StoreStandin,
+};
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -5,6 +5,7 @@
 
 use kwg_h1::{HeadWriter, RequestHead};
 
+use super::EndlessReply;
 use super::wire_server::{RequestReader, serve};
 
 /// Number of events in a complete stream.
@@ -32,6 +33,17 @@
     ShortBody,
     /// Does not answer; closes the connection when a further request arrives.
     Hang,
+    /// Sends bytes without end until the peer closes the connection.
+    Endless(EndlessReply),
+    /// Pauses for this many milliseconds before each event but the first.
+    SlowStream(u64),
+    /// Sends two events, and then a byte now and then that completes no event.
+    TrickleStream,
+    /// Ends the lines of events with CR LF, and pauses for a second before the last event.
+    CrLfStream,
+    /// Answers, and sends a copy of the answer without an id in reply to the connection's next
+    /// request.
+    AnonymousCopy,
 }
 
 /// A request that a runner has received.
@@ -110,6 +122,19 @@
                 }
                 return Ok(());
             }
+            RunnerMode::Endless(part) => return send_endless(reader, part, &id),
+            RunnerMode::AnonymousCopy => {
+                let body = format!("answer to {id}");
+                let reply = reply_to(&id, mode).finish_with(body.as_bytes());
+                reader.stream.write_all(&reply)?;
+                // The copy arrives when the next request is on its way.
+                if reader.next()?.is_some() {
+                    let mut copy = HeadWriter::reply(200);
+                    copy.field("X-Knapweedglade-Server-Seal", "seal");
+                    reader.stream.write_all(&copy.finish_with(body.as_bytes()))?;
+                }
+                return Ok(());
+            }
             RunnerMode::Decline => {
                 let mut reply = HeadWriter::reply(503);
                 reply.field("X-Knapweedglade-Not-Executed", 1);
@@ -141,6 +166,16 @@
     Ok(())
 }
 
+/// Sends bytes until the peer closes the connection, which ends this with an error.
+fn send_endless(reader: &mut RequestReader, part: EndlessReply, id: &str) -> io::Result<()> {
+    let (start, repeated) = part.parts(id);
+    reader.stream.write_all(start.as_bytes())?;
+    let block = repeated.repeat((4 << 10) / repeated.len());
+    loop {
+        reader.stream.write_all(block.as_bytes())?;
+    }
+}
+
 /// Sends the events after the last one that the caller has, and returns whether all were sent.
 fn stream_events(
     reader: &mut RequestReader,
@@ -155,7 +190,25 @@
     reader.stream.write_all(&reply.finish())?;
     for event in last + 1..=STREAM_EVENTS {
         let mut chunk = Vec::new();
-        let text = format!("id: {event}\ndata: piece {event}\n\n");
+        let text = match mode {
+            RunnerMode::CrLfStream => format!("id: {event}\r\ndata: piece {event}\r\n\r\n"),
+            _ => format!("id: {event}\ndata: piece {event}\n\n"),
+        };
+        match mode {
+            RunnerMode::SlowStream(pause_ms) if event > last + 1 => {
+                std::thread::sleep(Duration::from_millis(pause_ms));
+            }
+            RunnerMode::CrLfStream if event == STREAM_EVENTS => {
+                std::thread::sleep(Duration::from_secs(1));
+            }
+            RunnerMode::TrickleStream if event == last + 3 => loop {
+                HeadWriter::write_chunk(b":", &mut chunk);
+                reader.stream.write_all(&chunk)?;
+                chunk.clear();
+                std::thread::sleep(Duration::from_millis(200));
+            },
+            _ => {}
+        }
         if mode == RunnerMode::DisconnectMidStream && event == last + 3 {
             HeadWriter::write_chunk(&text.as_bytes()[..text.len() / 2], &mut chunk);
             reader.stream.write_all(&chunk)?;
