--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -257,7 +257,7 @@
                 listing.readers.contains(&self.own)
             }
             // Without a relay nobody passes changes on.
-            _ => !self.election.has_relay(now),
+            _ => self.election.is_without_relay(READERS_KEPT, now) || self.hears_members(now),
         }
     }
 
--- a/kwg-gate/src/peer/relay_election.rs
+++ b/kwg-gate/src/peer/relay_election.rs
@@ -71,10 +71,11 @@
         self.is_acting
     }
 
-    /// Whether the relay has been heard recently.
+    /// Whether no relay has been heard for longer than `span`, or since the start.
     #[must_use]
-    pub fn has_relay(&self, now: MonoTime) -> bool {
-        self.is_acting || self.fresh_source(now).is_some()
+    pub fn is_without_relay(&self, span: Duration, now: MonoTime) -> bool {
+        let heard = self.source.as_ref().map_or(self.started, |(_, at)| *at);
+        !self.is_acting && now.since(heard) > span
     }
 
     /// Records that an instance sent something other than a view.
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -70,7 +70,7 @@
             registry: RefCell::default(),
             store_available: RefCell::default(),
             table_version: Cell::new(0),
-            is_store_reader: Cell::new(true),
+            is_store_reader: Cell::new(false),
             is_relay: Cell::new(false),
             changes: pipes.changes,
             move_tasks: pipes.move_tasks,
@@ -87,8 +87,8 @@
         self.mirrors.borrow().get(&table).map_or(0, TableMirror::content_revision)
     }
 
-    /// Whether this instance reads the store itself. Otherwise the store readers of its failure
-    /// domain forward changes to it.
+    /// Whether this instance follows the store itself; false until it knows the other instances.
+    /// Otherwise the store readers of its failure domain forward changes to it.
     pub(crate) fn is_store_reader(&self) -> bool {
         self.is_store_reader.get()
     }
