--- a/kwg-bench/src/main.rs
+++ b/kwg-bench/src/main.rs
@@ -6,8 +6,9 @@
 use std::process::ExitCode;
 
 use kwg_bench::{
-    ControlScale, DecideScale, JudgeKind, KillTally, KillTrial, MoveTally, OverheadTrial,
-    PolicyKind, PolicyTally, PolicyTrial, ShutdownTrial, VersionKind,
+    ControlScale, DecideScale, JudgeKind, KillTally, KillTrial, LoadPattern, MoveTally,
+    OverheadTrial, OverloadReplay, PolicyKind, PolicyTally, PolicyTrial, ShutdownTrial,
+    VersionKind,
 };
 use pico_args::{Arguments, Error};
 
@@ -21,6 +22,7 @@
        kwg-bench control  [--routers N,N,..]
        kwg-bench decide
        kwg-bench moves    [--seed 1..200]
+       kwg-bench overload [--seed 1..5] [--pattern NAME]
 ";
 
 fn main() -> ExitCode {
@@ -72,6 +74,12 @@
             decide();
             Ok(true)
         }
+        Some("overload") => {
+            let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
+            let name: Option<String> = arguments.opt_value_from_str("--pattern")?;
+            overload(&parse_seeds(&seeds.unwrap_or("1..5".to_owned())), name.as_deref());
+            Ok(true)
+        }
         Some("moves") => {
             let seeds: Option<String> = arguments.opt_value_from_str("--seed")?;
             Ok(moves(&parse_seeds(&seeds.unwrap_or("1..200".to_owned()))))
@@ -109,6 +117,17 @@
     total.invariants_hold()
 }
 
+/// Replays the load patterns whose names contain `name`, or all, for each seed.
+fn overload(seeds: &[u64], name: Option<&str>) {
+    for pattern in LoadPattern::all() {
+        if name.is_none_or(|name| pattern.name.contains(name)) {
+            for seed in seeds {
+                println!("{} seed={seed} {}", pattern.name, OverloadReplay::run(&pattern, *seed));
+            }
+        }
+    }
+}
+
 fn moves(seeds: &[u64]) -> bool {
     let mut passed = true;
     for outages in [false, true] {
--- /dev/null
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -0,0 +1,555 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kwg_gate::{
+    Admitted, AttemptEvidence, AttemptSample, CallerLimits, Dispatched, DomainMap, EngineRule,
+    FinalOutcome, GateCore, GateDigest, GateOptions, GateSession, InstanceMap, PlacementOutcome,
+    QueuePosition, Received, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
+    ServiceName, ServiceRule, TargetEntry, TargetId, TargetKey, TargetRegistry, TokenCount,
+};
+use kwg_model::MonoTime;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::target_model::{TargetEvent, TargetJob, TargetModel};
+use super::{LoadPattern, OverloadTally, RequestClass};
+
+const TICK_MS: u64 = 5;
+/// Interval of digests, and of the views of a relay.
+const DIGEST_MS: u64 = 200;
+/// Interval of the sums of other domains.
+const SUM_MS: u64 = 500;
+/// Age of the reports in a view or sum on arrival, beyond the time since they were made.
+const TRANSFER_MS: u64 = 30;
+/// Largest number of instances of a domain that exchange digests directly.
+const DIRECT_PEERS: usize = 16;
+/// Part of the time before which requests are not counted.
+const WARM_UP_MS: u64 = 4_000;
+/// Speeds of the targets, in turn.
+const SPEEDS: [f64; 3] = [0.55, 1.0, 2.8];
+/// Share of its time left that a caller waits at most before it comes back.
+const MAX_RETURN_SHARE: u32 = 3;
+
+/// Replays a load pattern against gateways' decisions and modelled targets.
+#[derive(Debug)]
+pub struct OverloadReplay<'a> {
+    pattern: &'a LoadPattern,
+    random: ChaCha8Rng,
+    now_ms: u64,
+    nodes: Vec<ReplayNode>,
+    targets: Vec<(TargetId, &'static str, TargetModel)>,
+    requests: Vec<ReplayRequest>,
+    attempts: HashMap<usize, OpenReplay>,
+    next_attempt: usize,
+    /// Callers that come back: time, request.
+    returns: Vec<(u64, usize)>,
+    /// Digests on their way: arrival, recipient, sender, content.
+    messages: Vec<(u64, usize, String, GateDigest)>,
+    last_digests: Vec<GateDigest>,
+    tally: OverloadTally,
+    samples: u32,
+}
+
+#[derive(Debug)]
+struct ReplayNode {
+    name: String,
+    domain: String,
+    core: GateCore,
+    waiting: HashMap<QueuePosition, (GateSession<Admitted>, MonoTime, usize)>,
+    /// Share of the domain's callers that are connected here.
+    weight: f64,
+}
+
+#[derive(Debug)]
+struct ReplayRequest {
+    class: usize,
+    tokens: TokenCount,
+    work_ms: f64,
+    arrived_ms: u64,
+    deadline_ms: u64,
+    has_returned: bool,
+    is_counted: bool,
+}
+
+#[derive(Debug)]
+struct OpenReplay {
+    request: usize,
+    node: usize,
+    target: usize,
+    key: TargetKey,
+    session: GateSession<Dispatched>,
+    started_ms: u64,
+    first_ms: Option<u64>,
+}
+
+impl<'a> OverloadReplay<'a> {
+    /// Replays a pattern.
+    ///
+    /// ```
+    /// use kwg_bench::{LoadPattern, OverloadReplay};
+    ///
+    /// let mut pattern = LoadPattern::all().remove(0);
+    /// pattern.length_ms = 6_000;
+    /// assert!(OverloadReplay::run(&pattern, 1).worth() > 0.5);
+    /// ```
+    #[must_use]
+    pub fn run(pattern: &'a LoadPattern, seed: u64) -> OverloadTally {
+        let mut replay = Self::new(pattern, seed);
+        while replay.now_ms < pattern.length_ms {
+            replay.tick();
+        }
+        replay.tally.engine_use /= f64::from(replay.samples.max(1));
+        replay.tally
+    }
+
+    fn new(pattern: &'a LoadPattern, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let domain = |index: usize| format!("d{index}");
+        let name = |domain: &str, index: usize| format!("{domain}-{index:03}");
+        let regions: HashMap<String, String> =
+            (0..pattern.domains).map(|index| (domain(index), "r".to_owned())).collect();
+        let map = (0..pattern.domains)
+            .map(|index| {
+                let domain = domain(index);
+                let names = (0..pattern.instances).map(|index| name(&domain, index)).collect();
+                (domain, names)
+            })
+            .collect();
+        let instances = InstanceMap { own: String::new(), domains: map };
+        let (mut registry, mut entries, mut targets) =
+            (TargetRegistry::default(), Vec::new(), Vec::new());
+        for domain in instances.domains.keys() {
+            for index in 0..pattern.engines + pattern.services {
+                let service = if index < pattern.engines { "llm" } else { "app" };
+                let id = TargetId::new(&format!("{domain}-{service}-{index}"));
+                let speed = if service == "llm" { SPEEDS[index % 3] } else { 1.0 };
+                targets.push((id.clone(), service, TargetModel::new(pattern.slots, speed)));
+                entries.push(TargetEntry {
+                    id,
+                    service: ServiceName::new(service),
+                    address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                    domain: domain.clone(),
+                    version: "v1".to_owned(),
+                    slots: pattern.slots,
+                    is_draining: false,
+                    born: 1,
+                });
+            }
+        }
+        registry.replace(1, entries, MonoTime::from_millis(1));
+        let (registry, table) = (Arc::new(registry), Arc::new(route_table(pattern.slots)));
+        let mut nodes = Vec::new();
+        for (domain, names) in &instances.domains {
+            for name in names {
+                let domains = DomainMap { own: domain.clone(), regions: regions.clone() };
+                let mut core = GateCore::new(GateOptions { domains, ..GateOptions::default() });
+                core.set_table(&table);
+                core.set_registry(&registry);
+                core.set_instances(&InstanceMap { own: name.clone(), ..instances.clone() });
+                // Callers choose instances by a hash, two callers for each one.
+                let weight = (0..2).map(|_| -random.random::<f64>().max(1e-9).ln()).sum();
+                let (name, domain) = (name.clone(), domain.clone());
+                nodes.push(ReplayNode { name, domain, core, waiting: HashMap::new(), weight });
+            }
+        }
+        let last_digests = vec![GateDigest::default(); nodes.len()];
+        Self {
+            pattern,
+            random,
+            now_ms: 1,
+            nodes,
+            targets,
+            requests: Vec::new(),
+            attempts: HashMap::new(),
+            next_attempt: 0,
+            returns: Vec::new(),
+            messages: Vec::new(),
+            last_digests,
+            tally: OverloadTally::default(),
+            samples: 0,
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        MonoTime::from_millis(self.now_ms)
+    }
+
+    fn tick(&mut self) {
+        self.now_ms += TICK_MS;
+        self.advance_targets();
+        self.expire();
+        self.exchange_digests();
+        self.expire_waiting();
+        let due: Vec<usize> =
+            self.returns.extract_if(.., |(at, _)| *at <= self.now_ms).map(|(_, r)| r).collect();
+        for request in due {
+            let node = self.random.random_range(0..self.nodes.len());
+            self.admit(request, node);
+        }
+        self.draw_arrivals();
+        let llm = || self.targets.iter().filter(|(_, service, _)| *service == "llm");
+        let in_use: usize = llm().map(|(_, _, model)| model.in_use()).sum();
+        self.tally.engine_use +=
+            in_use as f64 / (llm().count() as f64 * f64::from(self.pattern.slots));
+        self.samples += 1;
+    }
+
+    fn draw_arrivals(&mut self) {
+        for (index, class) in RequestClass::ALL.iter().enumerate() {
+            let targets = match class.is_generation() {
+                true => self.pattern.engines,
+                false => self.pattern.services,
+            };
+            let targets = targets * self.pattern.domains;
+            let load = self.pattern.load(self.now_ms, class.is_generation());
+            let expected = class.rate_per_target * targets as f64 * load * TICK_MS as f64 / 1e3;
+            for _ in 0..poisson(&mut self.random, expected) {
+                self.arrive(index);
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let class = &RequestClass::ALL[index];
+        // Sizes have a long tail, as the operators' have.
+        let mut size = || (-self.random.random::<f64>().max(1e-9).ln()).clamp(0.1, 5.0);
+        let tokens = TokenCount {
+            prompt: (class.prompt_tokens * size()) as u64,
+            output: (class.output_tokens * size()) as u64,
+        };
+        let work_ms = class.work_ms * (0.5 + 0.5 * size());
+        let is_counted = self.now_ms >= WARM_UP_MS;
+        self.tally.classes[index].asked += u32::from(is_counted);
+        self.requests.push(ReplayRequest {
+            class: index,
+            tokens,
+            work_ms,
+            arrived_ms: self.now_ms,
+            deadline_ms: self.now_ms + class.patience.as_millis() as u64,
+            has_returned: false,
+            is_counted,
+        });
+        let total: f64 = self.nodes.iter().map(|node| node.weight).sum();
+        let mut left = self.random.random::<f64>() * total;
+        let node = self.nodes.iter().position(|node| {
+            left -= node.weight;
+            left < 0.0
+        });
+        self.admit(self.requests.len() - 1, node.unwrap_or(0));
+    }
+
+    fn admit(&mut self, request: usize, node: usize) {
+        let now = self.now();
+        let state = &self.requests[request];
+        let class = &RequestClass::ALL[state.class];
+        let details = RequestDetails {
+            id: format!("r{request}"),
+            host: "h".to_owned(),
+            path: format!("/{}/", class.name),
+            key: None,
+            tokens: class.is_generation().then_some(state.tokens),
+            arrived: now,
+            deadline: MonoTime::from_millis(state.deadline_ms),
+            fingerprint: request as u64,
+        };
+        let draw = self.random.random();
+        let session = GateSession::<Received>::new(details);
+        match session.admit(&mut self.nodes[node].core, draw, now) {
+            Ok(session) => self.place(session, request, node),
+            Err(outcome) => self.end(request, outcome),
+        }
+    }
+
+    fn place(&mut self, session: GateSession<Admitted>, request: usize, node: usize) {
+        let (now, draw) = (self.now(), self.random.random());
+        let state = &mut self.nodes[node];
+        match session.place(&mut state.core, draw, now) {
+            PlacementOutcome::Placed(placed) => {
+                let session = placed.dispatch();
+                let key = session.placement().target;
+                let entry = state.core.targets().entry(key).expect("known");
+                let target = self.targets.iter().position(|(id, ..)| *id == entry.id);
+                let target = target.expect("registered");
+                let details = &self.requests[request];
+                state.core.targets_mut().begin_attempt(key, details.tokens.prompt);
+                let attempt = self.next_attempt;
+                self.next_attempt += 1;
+                let job = TargetJob {
+                    attempt,
+                    unread: details.tokens.prompt as f64,
+                    unwritten: details.tokens.output as f64,
+                    work_ms: details.work_ms,
+                    has_begun: false,
+                };
+                let open = OpenReplay {
+                    request,
+                    node,
+                    target,
+                    key,
+                    session,
+                    started_ms: self.now_ms,
+                    first_ms: None,
+                };
+                if self.targets[target].2.push(job) {
+                    self.attempts.insert(attempt, open);
+                } else {
+                    self.close(open, AttemptEvidence::Declined);
+                }
+            }
+            PlacementOutcome::Waiting(waiting, until) => {
+                let service = waiting.service().clone();
+                let arrived = waiting.details().arrived;
+                let rank = waiting.rank();
+                let position = state.core.waiting_mut().enter(&service, rank, arrived);
+                state.waiting.insert(position, (waiting, until, request));
+            }
+            PlacementOutcome::Refused(outcome) => self.end(request, outcome),
+        }
+    }
+
+    /// Ends a request without an answer; a refused caller comes back once.
+    fn end(&mut self, request: usize, outcome: FinalOutcome) {
+        let state = &mut self.requests[request];
+        let service = RequestClass::ALL[state.class].service();
+        let of_service = || self.targets.iter().filter(|(_, name, _)| *name == service);
+        let in_use: usize = of_service().map(|(_, _, model)| model.in_use()).sum();
+        let is_idle = in_use * 2 < of_service().count() * self.pattern.slots as usize;
+        let tally = &mut self.tally.classes[state.class];
+        let counted = u32::from(state.is_counted);
+        let left = state.deadline_ms.saturating_sub(self.now_ms);
+        match outcome {
+            FinalOutcome::Refused { retry_after, .. } => {
+                tally.refusals += counted;
+                tally.refused_idle += counted * u32::from(is_idle);
+                if state.has_returned || left == 0 {
+                    tally.refused += counted;
+                    return;
+                }
+                state.has_returned = true;
+                let longest = Duration::from_millis(left) / MAX_RETURN_SHARE;
+                let wait = retry_after.unwrap_or(Duration::from_millis(100)).min(longest);
+                self.returns.push((self.now_ms + wait.as_millis() as u64, request));
+            }
+            FinalOutcome::Unknown(_) => tally.expired += counted,
+        }
+    }
+
+    fn close(&mut self, open: OpenReplay, evidence: AttemptEvidence) {
+        let now = self.now();
+        let core = &mut self.nodes[open.node].core;
+        core.targets_mut().end_attempt(open.key);
+        match open.session.close(core, evidence, now) {
+            kwg_gate::SessionStep::Retry(session) => self.place(session, open.request, open.node),
+            kwg_gate::SessionStep::Ended(outcome) => self.end(open.request, outcome),
+        }
+        self.wake_one(open.node, open.request);
+    }
+
+    fn advance_targets(&mut self) {
+        let events: Vec<TargetEvent> = self
+            .targets
+            .iter_mut()
+            .flat_map(|(_, _, model)| model.advance(TICK_MS as f64))
+            .collect();
+        for event in events {
+            match event {
+                TargetEvent::Begun(attempt) => {
+                    if let Some(open) = self.attempts.get_mut(&attempt) {
+                        open.first_ms = Some(self.now_ms);
+                        let tokens = self.requests[open.request].tokens.prompt;
+                        let core = &mut self.nodes[open.node].core;
+                        core.targets_mut().record_prompt_read(open.key, tokens);
+                    }
+                }
+                TargetEvent::Finished(attempt) => {
+                    if let Some(open) = self.attempts.remove(&attempt) {
+                        self.finish(open);
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, open: OpenReplay) {
+        let now = self.now();
+        let state = &self.requests[open.request];
+        let class = &RequestClass::ALL[state.class];
+        let first_ms = open.first_ms.unwrap_or(self.now_ms);
+        let events = (state.tokens.output / 18).max(1) as u32;
+        let span = Duration::from_millis(self.now_ms - first_ms);
+        let sample = AttemptSample {
+            hold: Duration::from_millis(self.now_ms - open.started_ms),
+            first_event: Some(Duration::from_millis(first_ms - open.started_ms)),
+            event_gap: class.is_generation().then_some(span / events),
+            longest_gap: None,
+            tokens_per_event: 18.0,
+        };
+        let is_timely = first_ms - state.arrived_ms <= class.target_latency.as_millis() as u64;
+        let tally = &mut self.tally.classes[state.class];
+        match is_timely {
+            true => tally.on_time += u32::from(state.is_counted),
+            false => tally.late += u32::from(state.is_counted),
+        }
+        let core = &mut self.nodes[open.node].core;
+        core.targets_mut().end_attempt(open.key);
+        open.session.answered(core, &sample, now);
+        self.wake_one(open.node, open.request);
+    }
+
+    /// Ends the requests whose callers have left.
+    fn expire(&mut self) {
+        let is_over = |open: &OpenReplay| self.requests[open.request].deadline_ms <= self.now_ms;
+        let over: Vec<usize> =
+            self.attempts.iter().filter(|(_, open)| is_over(open)).map(|(key, _)| *key).collect();
+        for attempt in over {
+            let open = self.attempts.remove(&attempt).expect("open");
+            self.targets[open.target].2.remove(attempt);
+            self.close(open, AttemptEvidence::TimedOut);
+        }
+    }
+
+    fn expire_waiting(&mut self) {
+        let now = self.now();
+        for node in 0..self.nodes.len() {
+            let over: Vec<QueuePosition> = self.nodes[node]
+                .waiting
+                .iter()
+                .filter(|(_, (_, until, _))| *until <= now)
+                .map(|(position, _)| *position)
+                .collect();
+            over.into_iter().for_each(|position| self.call(node, position));
+        }
+    }
+
+    /// Lets a waiting request try again.
+    fn call(&mut self, node: usize, position: QueuePosition) {
+        let state = &mut self.nodes[node];
+        if let Some((session, _, request)) = state.waiting.remove(&position) {
+            state.core.waiting_mut().leave(&session.service().clone(), &position);
+            self.place(session, request, node);
+        }
+    }
+
+    fn wake_one(&mut self, node: usize, request: usize) {
+        let class = &RequestClass::ALL[self.requests[request].class];
+        self.wake(node, class.service(), 1);
+    }
+
+    fn wake(&mut self, node: usize, service: &str, count: u32) {
+        let service = ServiceName::new(service);
+        for _ in 0..count {
+            let draw = self.random.random();
+            let Some(position) = self.nodes[node].core.waiting().next(&service, draw) else {
+                return;
+            };
+            self.call(node, position);
+        }
+    }
+
+    fn wake_all(&mut self, node: usize) {
+        for service in ["llm", "app"] {
+            let core = &self.nodes[node].core;
+            let count = core.targets().free_slots(service).min(core.waiting().count(service));
+            self.wake(node, service, count);
+        }
+    }
+
+    fn exchange_digests(&mut self) {
+        let now = self.now();
+        for (_, to, from, digest) in
+            self.messages.extract_if(.., |(at, ..)| *at <= self.now_ms).collect::<Vec<_>>()
+        {
+            self.nodes[to].core.apply_digest(&from, &digest, now);
+            self.wake_all(to);
+        }
+        for node in 0..self.nodes.len() {
+            if self.now_ms / TICK_MS % (DIGEST_MS / TICK_MS) == node as u64 % (DIGEST_MS / TICK_MS)
+            {
+                let draw = self.random.random();
+                self.last_digests[node] = self.nodes[node].core.digest(1, now);
+                self.nodes[node].core.claim_slots(draw, now);
+                self.wake_all(node);
+                if self.pattern.instances <= DIRECT_PEERS {
+                    self.send_to_domain(node);
+                }
+            }
+        }
+        for index in 0..self.pattern.domains {
+            let is_due = |interval: u64| {
+                (self.now_ms / TICK_MS + index as u64 * 7).is_multiple_of(interval / TICK_MS)
+            };
+            let (views_due, sums_due) =
+                (is_due(DIGEST_MS) && self.pattern.instances > DIRECT_PEERS, is_due(SUM_MS));
+            if views_due || sums_due {
+                self.send_sums(index, views_due, sums_due);
+            }
+        }
+    }
+
+    fn send_to_domain(&mut self, node: usize) {
+        let sender = &self.nodes[node];
+        for (to, other) in self.nodes.iter().enumerate() {
+            if to != node && other.domain == sender.domain {
+                let digest = self.last_digests[node].clone();
+                self.messages.push((self.now_ms + TICK_MS, to, sender.name.clone(), digest));
+            }
+        }
+    }
+
+    /// Sends the sum of a domain to its own instances, without the recipient's part, and to all
+    /// others.
+    fn send_sums(&mut self, index: usize, to_own: bool, to_others: bool) {
+        let size = self.pattern.instances;
+        let members = index * size..(index + 1) * size;
+        let name = InstanceMap::domain_peer_name(&self.nodes[members.start].domain);
+        let at = self.now_ms + TRANSFER_MS;
+        let nothing = GateDigest::default();
+        for to in 0..self.nodes.len() {
+            let is_own = members.contains(&to);
+            if (is_own && to_own) || (!is_own && to_others) {
+                let others = members.clone().filter(|member| *member != to);
+                let sum =
+                    GateDigest::sum(&nothing, others.map(|member| &self.last_digests[member]));
+                self.messages.push((at, to, name.clone(), sum));
+            }
+        }
+    }
+}
+
+fn poisson(random: &mut ChaCha8Rng, expected: f64) -> u32 {
+    let (limit, mut product, mut count) = ((-expected).exp(), random.random::<f64>(), 0);
+    while product > limit {
+        product *= random.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+fn route_table(slots: u32) -> RouteTable {
+    let route = |class: &RequestClass| RouteRule {
+        name: class.name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{}/", class.name),
+        kind: match class.is_generation() {
+            true => RequestKind::Stream { resumable: true },
+            false => RequestKind::NonIdempotent,
+        },
+        timeout: class.patience,
+        target_latency: class.target_latency,
+        gap_target: class.is_generation().then_some(Duration::from_millis(500)),
+        rank: class.rank,
+        pools: vec![RoutePool { service: ServiceName::new(class.service()), weight: 1 }],
+        max_attempts: 2,
+        allows_anonymous: true,
+    };
+    let engine = EngineRule { slots, memory_tokens: 432_654, tokens_per_event: 18.0 };
+    let rule = |name: &str, engine| ServiceRule {
+        name: ServiceName::new(name),
+        max_connections: 1_000,
+        engine,
+    };
+    let rules = [rule("llm", Some(engine)), rule("app", None)];
+    RouteTable::new(1, RequestClass::ALL.iter().map(route), rules, [], CallerLimits::default())
+}
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -125,7 +125,7 @@
             let tokens = query.prompt_tokens + state.waiting_tokens();
             FIRST_EVENT_MS + tokens as f64 * state.read_ms_per_token()
         }
-        false => state.hold_ms(),
+        false => state.hold_ms() + state.queue_ms(),
     };
     distance.round_trip().as_secs_f64() * 1e3 + work_ms
 }
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -13,6 +13,8 @@
 /// Prior for the time of a request that is not a generation, in milliseconds; counts as one sample
 /// in the mean.
 const PRIOR_HOLD_MS: f64 = 60.0;
+/// Part of the target latency of a plain service that requests may spend in a target's queue.
+const QUEUE_SHARE: f64 = 0.3;
 /// Interval at which slots are claimed: with each digest.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
 /// Prompt tokens that an engine reads in the time of one decoding step; between 236 and 300,
@@ -95,6 +97,19 @@
         self.usable_slots() > 0 || (!is_contended && is_ample())
     }
 
+    /// Whether one more request to a plain service is expected to leave the target's queue soon
+    /// enough to be on time. Its slots need no owners: a queue of a few short requests costs less
+    /// than agreeing on each slot with all other instances.
+    pub(crate) fn is_served_in_time(&self, target_latency: Duration) -> bool {
+        self.queue_ms() <= QUEUE_SHARE * target_latency.as_secs_f64() * 1e3
+    }
+
+    /// Expected time that one more request waits in the queue of a plain service, in milliseconds.
+    pub(crate) fn queue_ms(&self) -> f64 {
+        let queued = (self.load() + 1).saturating_sub(self.entry.slots);
+        f64::from(queued) / f64::from(self.entry.slots.max(1)) * self.hold_ms()
+    }
+
     /// Whether a slot that this instance owns is idle.
     pub(crate) fn has_idle_owned_slot(&self) -> bool {
         self.share.has_idle_owned(self.running)
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -108,7 +108,10 @@
         let accepting = candidates().filter(|(_, state)| !any_accepts || accepts(state));
         let has_capacity = |(_, state): &(TargetKey, &TargetState)| {
             let is_local = state.entry.domain == self.domains.own;
-            state.has_capacity(query.is_contended, is_local)
+            match query.on_engine {
+                true => state.has_capacity(query.is_contended, is_local),
+                false => state.is_served_in_time(query.target_latency),
+            }
         };
         let with_capacity: Vec<_> = accepting.filter(has_capacity).collect();
         match self.cheapest(with_capacity.into_iter(), query, now, draw) {
