--- a/kwg-bench/src/overload/overload_replay.rs
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -25,6 +25,8 @@
 const TRANSFER_MS: u64 = 30;
 /// Largest number of instances of a domain that exchange digests directly.
 const DIRECT_PEERS: usize = 16;
+/// Tokens in one event of a stream.
+const TOKENS_PER_EVENT: f64 = 18.0;
 /// Part of the time before which requests are not counted.
 const WARM_UP_MS: u64 = 4_000;
 /// Speeds of the targets, in turn.
@@ -280,6 +282,7 @@
                     attempt,
                     unread: details.tokens.prompt as f64,
                     unwritten: details.tokens.output as f64,
+                    first_event_at: (details.tokens.output as f64 - TOKENS_PER_EVENT).max(0.0),
                     work_ms: details.work_ms,
                     has_begun: false,
                 };
@@ -377,14 +380,14 @@
         let state = &self.requests[open.request];
         let class = &RequestClass::ALL[state.class];
         let first_ms = open.first_ms.unwrap_or(self.now_ms);
-        let events = (state.tokens.output / 18).max(1) as u32;
+        let events = (state.tokens.output as f64 / TOKENS_PER_EVENT).max(1.0) as u32;
         let span = Duration::from_millis(self.now_ms - first_ms);
         let sample = AttemptSample {
             hold: Duration::from_millis(self.now_ms - open.started_ms),
             first_event: Some(Duration::from_millis(first_ms - open.started_ms)),
             event_gap: class.is_generation().then_some(span / events),
             longest_gap: None,
-            tokens_per_event: 18.0,
+            tokens_per_event: TOKENS_PER_EVENT,
         };
         let is_timely = first_ms - state.arrived_ms <= class.target_latency.as_millis() as u64;
         let tally = &mut self.tally.classes[state.class];
@@ -544,7 +547,7 @@
         max_attempts: 2,
         allows_anonymous: true,
     };
-    let engine = EngineRule { slots, memory_tokens: 432_654, tokens_per_event: 18.0 };
+    let engine = EngineRule { slots, memory_tokens: 432_654, tokens_per_event: TOKENS_PER_EVENT };
     let rule = |name: &str, engine| ServiceRule {
         name: ServiceName::new(name),
         max_connections: 1_000,
--- a/kwg-bench/src/overload/target_model.rs
+++ b/kwg-bench/src/overload/target_model.rs
@@ -18,6 +18,8 @@
     pub(crate) unread: f64,
     /// Tokens of the answer that have not been generated.
     pub(crate) unwritten: f64,
+    /// Value of `unwritten` at which the first event is complete.
+    pub(crate) first_event_at: f64,
     /// Work of a plain call that is left, in milliseconds.
     pub(crate) work_ms: f64,
     /// Whether the first event has been sent.
@@ -96,7 +98,8 @@
             } else {
                 job.unwritten -= written;
             }
-            if job.unread <= 0.0 && job.work_ms <= 0.0 && !job.has_begun {
+            let has_event = job.unwritten <= job.first_event_at;
+            if job.unread <= 0.0 && job.work_ms <= 0.0 && has_event && !job.has_begun {
                 job.has_begun = true;
                 events.push(TargetEvent::Begun(job.attempt));
             }
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -316,6 +316,7 @@
             service,
             prompt_tokens: details.tokens.map_or(0, |tokens| tokens.prompt),
             output_tokens: details.tokens.map_or(0, |tokens| tokens.output),
+            tokens_per_event: plan.tokens_per_event,
             left: plan.due.since(now),
             on_engine: plan.on_engine,
             target_latency: plan.target_latency,
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -5,8 +5,8 @@
 use super::target_state::TargetState;
 use crate::{DomainDistance, DomainMap, TargetKey};
 
-/// Time to the first event besides reading the prompt, in milliseconds.
-const FIRST_EVENT_MS: f64 = 8.0;
+/// Time to the first token besides reading the prompt, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 8.0;
 /// Cost of crossing into another failure domain of the region, in units of the value of one answer:
 /// about the traffic price of a medium request.
 const CROSS_DOMAIN_COST: f64 = 0.01;
@@ -40,6 +40,8 @@
     pub prompt_tokens: u64,
     /// Maximum tokens of the answer.
     pub output_tokens: u64,
+    /// Tokens in one event of the answer's stream; the first event comes after so many.
+    pub tokens_per_event: f64,
     /// Time until the final answer is due.
     pub left: Duration,
     /// Whether the targets are batching engines.
@@ -123,7 +125,8 @@
     let work_ms = match query.on_engine {
         true => {
             let tokens = query.prompt_tokens + state.waiting_tokens();
-            FIRST_EVENT_MS + tokens as f64 * state.read_ms_per_token()
+            let read_ms = tokens as f64 * state.read_ms_per_token();
+            FIRST_TOKEN_MS + read_ms + query.tokens_per_event * state.ms_per_token()
         }
         false => state.hold_ms() + state.queue_ms(),
     };
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -16,7 +16,7 @@
 /// idle slot: less than the cost of one more slot in use in a batch.
 const OWNED_JITTER: f64 = 0.01;
 /// The same for a target at which it owns no idle slot: about the cost of a few more slots in use.
-const BORROWED_JITTER: f64 = 0.03;
+const BORROWED_JITTER: f64 = 0.15;
 
 /// Pseudorandom numbers in [0, 1) derived from a first one, so that a decision stays a function of
 /// its inputs.
--- a/kwg-gate/tests/silence.rs
+++ b/kwg-gate/tests/silence.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallerLimits, Dispatched, DomainMap, GateCore, GateOptions, GateSession, InstanceMap,
-    PlacementOutcome, Received, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
-    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
+    CallerLimits, Dispatched, DomainMap, EngineRule, GateCore, GateOptions, GateSession,
+    InstanceMap, PlacementOutcome, Received, RequestDetails, RequestKind, RoutePool, RouteRule,
+    RouteTable, ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -37,7 +37,8 @@
         max_attempts: 2,
         allows_anonymous: true,
     };
-    let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: None };
+    let engine = EngineRule { slots: SLOTS, memory_tokens: 100_000, tokens_per_event: 1.0 };
+    let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
     let table = RouteTable::new(1, [route], [rule], [], CallerLimits::default());
     core.set_table(&Arc::new(table));
     let mut registry = TargetRegistry::default();
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -153,6 +153,7 @@
                     service: "llm",
                     prompt_tokens: 600,
                     output_tokens: 300,
+                    tokens_per_event: 7.0,
                     left: Duration::from_secs(10),
                     on_engine: true,
                     target_latency: Duration::from_millis(400),
--- a/kwg-gate/tests/targets.rs
+++ b/kwg-gate/tests/targets.rs
@@ -41,6 +41,7 @@
         service: "llm",
         prompt_tokens: 1_000,
         output_tokens: 300,
+        tokens_per_event: 7.0,
         left: Duration::from_secs(10),
         on_engine: true,
         target_latency: Duration::from_millis(400),
