--- a/knapweedglade/tests/hostile_replies.rs
+++ b/knapweedglade/tests/hostile_replies.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -134,6 +134,29 @@
     assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
 }
 
+#[test]
+fn a_runner_that_accepts_no_connection_costs_little_time() {
+    let fleet = TestFleet::start("dark", 1);
+    // A listener with a full backlog: the kernel drops further connection attempts, as a network
+    // does in front of an instance without power.
+    let dark = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    rustix::net::listen(&dark, 0).expect("a listener");
+    let address = dark.local_addr().expect("bound");
+    let _held: Vec<TcpStream> = (0..8)
+        .map_while(|_| TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok())
+        .collect();
+    let mut entry = kwg_standin::SampleFleet::entry(&fleet.runners[0], "ready");
+    entry["address"] = address.to_string().into();
+    fleet.store.put("servers", "i-dark", Some(entry.to_string().as_bytes()));
+    thread::sleep(Duration::from_millis(300));
+    for number in 0..12 {
+        let started = Instant::now();
+        let answer = fleet.call(&request("POST", "/open/a", &format!("r{number}")));
+        assert_eq!(answer.status, 200, "the other runner answers");
+        assert!(started.elapsed() < Duration::from_millis(600), "{:?}", started.elapsed());
+    }
+}
+
 #[test]
 fn a_late_copy_without_an_id_is_not_sent_to_the_next_caller() {
     let fleet = TestFleet::start("copy", 1);
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -14,9 +14,9 @@
 use super::traffic_state::TrafficState;
 use crate::socket::ByteSocket;
 
-/// Time limit for connecting to a target. A round trip between regions takes 24 ms, and one lost
-/// packet costs a second.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_300);
+/// Time limit for connecting to a target: ten round trips between regions. Another target serves the
+/// request sooner than a lost packet is sent again, which takes a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Silence after which a resumable stream is resumed at another target. Callers disconnect after
 /// two seconds without an event.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
