--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -4,11 +4,11 @@
 mod support;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 use kwg_standin::{RunnerMode, SampleFleet, StoreMode};
-use support::{TestFleet, call_at, read_answer, request, wait_until};
+use support::{GatewayChild, TestFleet, call_at, read_answer, request, wait_until};
 
 const COMPLETE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
     id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n";
@@ -249,6 +249,23 @@
     assert_eq!(fleet.runners[0].received().len(), before, "the draining runner gets no requests");
 }
 
+#[test]
+fn instances_beyond_the_first_page_of_rows_are_found() {
+    let SampleFleet { store, .. } = SampleFleet::start(1).expect("ports are free");
+    let last = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    last.set_read_timeout(Some(Duration::from_secs(10))).expect("a valid timeout");
+    for number in 0..600 {
+        let row = format!("127.0.0.1:{} wien", 10_000 + number);
+        store.put("kwg-instances", &format!("instance/b-{number}"), Some(row.as_bytes()));
+    }
+    let row = format!("{} graz", last.local_addr().expect("bound"));
+    store.put("kwg-instances", "instance/z", Some(row.as_bytes()));
+    let gateway = GatewayChild::start("paged", &store);
+    gateway.wait_ready();
+    let received = last.recv(&mut [0; 2_048]);
+    assert!(received.is_ok(), "the only other instance of the domain is not contacted");
+}
+
 #[test]
 fn metrics_are_served() {
     let fleet = TestFleet::start("metrics", 1);
--- a/kwg-bench/src/overload.rs
+++ b/kwg-bench/src/overload.rs
@@ -4,6 +4,9 @@
 mod load_pattern;
 mod overload_replay;
 mod overload_tally;
+mod replay_exchange;
+mod replay_fleet;
+mod replay_request;
 mod request_class;
 mod target_model;
 
--- a/kwg-bench/src/overload/overload_replay.rs
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -1,89 +1,47 @@
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kwg_gate::{
-    Admitted, AttemptEvidence, AttemptSample, CallerLimits, Dispatched, DomainMap, EngineRule,
-    FinalOutcome, GateCore, GateDigest, GateOptions, GateSession, InstanceMap, PlacementOutcome,
-    QueuePosition, Received, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
-    ServiceName, ServiceRule, TargetEntry, TargetId, TargetKey, TargetRegistry, TokenCount,
+    Admitted, AttemptEvidence, AttemptSample, FinalOutcome, GateDigest, GateSession,
+    PlacementOutcome, QueuePosition, Received, RequestDetails, ServiceName, SessionStep, TargetId,
+    TokenCount,
 };
 use kwg_model::MonoTime;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::replay_fleet::{ReplayFleet, ReplayNode};
+use super::replay_request::{OpenReplay, ReplayRequest};
 use super::target_model::{TargetEvent, TargetJob, TargetModel};
 use super::{LoadPattern, OverloadTally, RequestClass};
 
-const TICK_MS: u64 = 5;
-/// Interval of digests, and of the views of a relay.
-const DIGEST_MS: u64 = 200;
-/// Interval of the sums of other domains.
-const SUM_MS: u64 = 500;
-/// Age of the reports in a view or sum on arrival, beyond the time since they were made.
-const TRANSFER_MS: u64 = 30;
-/// Largest number of instances of a domain that exchange digests directly.
-const DIRECT_PEERS: usize = 16;
+/// Length of a step.
+pub(super) const TICK_MS: u64 = 5;
 /// Tokens in one event of a stream.
-const TOKENS_PER_EVENT: f64 = 18.0;
+pub(super) const TOKENS_PER_EVENT: f64 = 18.0;
 /// Part of the time before which requests are not counted.
 const WARM_UP_MS: u64 = 4_000;
-/// Speeds of the targets, in turn.
-const SPEEDS: [f64; 3] = [0.55, 1.0, 2.8];
 /// Share of its time left that a caller waits at most before it comes back.
 const MAX_RETURN_SHARE: u32 = 3;
 
 /// Replays a load pattern against gateways' decisions and modelled targets.
 #[derive(Debug)]
 pub struct OverloadReplay<'a> {
-    pattern: &'a LoadPattern,
-    random: ChaCha8Rng,
-    now_ms: u64,
-    nodes: Vec<ReplayNode>,
-    targets: Vec<(TargetId, &'static str, TargetModel)>,
-    requests: Vec<ReplayRequest>,
-    attempts: HashMap<usize, OpenReplay>,
-    next_attempt: usize,
+    pub(super) pattern: &'a LoadPattern,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now_ms: u64,
+    pub(super) nodes: Vec<ReplayNode>,
+    pub(super) targets: Vec<(TargetId, &'static str, TargetModel)>,
+    pub(super) requests: Vec<ReplayRequest>,
+    pub(super) attempts: HashMap<usize, OpenReplay>,
+    pub(super) next_attempt: usize,
     /// Callers that come back: time, request.
-    returns: Vec<(u64, usize)>,
+    pub(super) returns: Vec<(u64, usize)>,
     /// Digests on their way: arrival, recipient, sender, content.
-    messages: Vec<(u64, usize, String, GateDigest)>,
-    last_digests: Vec<GateDigest>,
-    tally: OverloadTally,
-    samples: u32,
-}
-
-#[derive(Debug)]
-struct ReplayNode {
-    name: String,
-    domain: String,
-    core: GateCore,
-    waiting: HashMap<QueuePosition, (GateSession<Admitted>, MonoTime, usize)>,
-    /// Share of the domain's callers that are connected here.
-    weight: f64,
-}
-
-#[derive(Debug)]
-struct ReplayRequest {
-    class: usize,
-    tokens: TokenCount,
-    work_ms: f64,
-    arrived_ms: u64,
-    deadline_ms: u64,
-    has_returned: bool,
-    is_counted: bool,
-}
-
-#[derive(Debug)]
-struct OpenReplay {
-    request: usize,
-    node: usize,
-    target: usize,
-    key: TargetKey,
-    session: GateSession<Dispatched>,
-    started_ms: u64,
-    first_ms: Option<u64>,
+    pub(super) messages: Vec<(u64, usize, String, GateDigest)>,
+    pub(super) last_digests: Vec<GateDigest>,
+    pub(super) tally: OverloadTally,
+    pub(super) samples: u32,
 }
 
 impl<'a> OverloadReplay<'a> {
@@ -108,54 +66,7 @@
 
     fn new(pattern: &'a LoadPattern, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let domain = |index: usize| format!("d{index}");
-        let name = |domain: &str, index: usize| format!("{domain}-{index:03}");
-        let regions: HashMap<String, String> =
-            (0..pattern.domains).map(|index| (domain(index), "r".to_owned())).collect();
-        let map = (0..pattern.domains)
-            .map(|index| {
-                let domain = domain(index);
-                let names = (0..pattern.instances).map(|index| name(&domain, index)).collect();
-                (domain, names)
-            })
-            .collect();
-        let instances = InstanceMap { own: String::new(), domains: map };
-        let (mut registry, mut entries, mut targets) =
-            (TargetRegistry::default(), Vec::new(), Vec::new());
-        for domain in instances.domains.keys() {
-            for index in 0..pattern.engines + pattern.services {
-                let service = if index < pattern.engines { "llm" } else { "app" };
-                let id = TargetId::new(&format!("{domain}-{service}-{index}"));
-                let speed = if service == "llm" { SPEEDS[index % 3] } else { 1.0 };
-                targets.push((id.clone(), service, TargetModel::new(pattern.slots, speed)));
-                entries.push(TargetEntry {
-                    id,
-                    service: ServiceName::new(service),
-                    address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                    domain: domain.clone(),
-                    version: "v1".to_owned(),
-                    slots: pattern.slots,
-                    is_draining: false,
-                    born: 1,
-                });
-            }
-        }
-        registry.replace(1, entries, MonoTime::from_millis(1));
-        let (registry, table) = (Arc::new(registry), Arc::new(route_table(pattern.slots)));
-        let mut nodes = Vec::new();
-        for (domain, names) in &instances.domains {
-            for name in names {
-                let domains = DomainMap { own: domain.clone(), regions: regions.clone() };
-                let mut core = GateCore::new(GateOptions { domains, ..GateOptions::default() });
-                core.set_table(&table);
-                core.set_registry(&registry);
-                core.set_instances(&InstanceMap { own: name.clone(), ..instances.clone() });
-                // Callers choose instances by a hash, two callers for each one.
-                let weight = (0..2).map(|_| -random.random::<f64>().max(1e-9).ln()).sum();
-                let (name, domain) = (name.clone(), domain.clone());
-                nodes.push(ReplayNode { name, domain, core, waiting: HashMap::new(), weight });
-            }
-        }
+        let ReplayFleet { nodes, targets } = ReplayFleet::new(pattern, &mut random);
         let last_digests = vec![GateDigest::default(); nodes.len()];
         Self {
             pattern,
@@ -174,7 +85,7 @@
         }
     }
 
-    fn now(&self) -> MonoTime {
+    pub(super) fn now(&self) -> MonoTime {
         MonoTime::from_millis(self.now_ms)
     }
 
@@ -344,8 +255,8 @@
         let core = &mut self.nodes[open.node].core;
         core.targets_mut().end_attempt(open.key);
         match open.session.close(core, evidence, now) {
-            kwg_gate::SessionStep::Retry(session) => self.place(session, open.request, open.node),
-            kwg_gate::SessionStep::Ended(outcome) => self.end(open.request, outcome),
+            SessionStep::Retry(session) => self.place(session, open.request, open.node),
+            SessionStep::Ended(outcome) => self.end(open.request, outcome),
         }
         self.wake_one(open.node, open.request);
     }
@@ -451,74 +362,13 @@
         }
     }
 
-    fn wake_all(&mut self, node: usize) {
+    pub(super) fn wake_all(&mut self, node: usize) {
         for service in ["llm", "app"] {
             let core = &self.nodes[node].core;
             let count = core.targets().free_slots(service).min(core.waiting().count(service));
             self.wake(node, service, count);
         }
     }
-
-    fn exchange_digests(&mut self) {
-        let now = self.now();
-        for (_, to, from, digest) in
-            self.messages.extract_if(.., |(at, ..)| *at <= self.now_ms).collect::<Vec<_>>()
-        {
-            self.nodes[to].core.apply_digest(&from, &digest, now);
-            self.wake_all(to);
-        }
-        for node in 0..self.nodes.len() {
-            if self.now_ms / TICK_MS % (DIGEST_MS / TICK_MS) == node as u64 % (DIGEST_MS / TICK_MS)
-            {
-                let draw = self.random.random();
-                self.last_digests[node] = self.nodes[node].core.digest(1, now);
-                self.nodes[node].core.claim_slots(draw, now);
-                self.wake_all(node);
-                if self.pattern.instances <= DIRECT_PEERS {
-                    self.send_to_domain(node);
-                }
-            }
-        }
-        for index in 0..self.pattern.domains {
-            let is_due = |interval: u64| {
-                (self.now_ms / TICK_MS + index as u64 * 7).is_multiple_of(interval / TICK_MS)
-            };
-            let (views_due, sums_due) =
-                (is_due(DIGEST_MS) && self.pattern.instances > DIRECT_PEERS, is_due(SUM_MS));
-            if views_due || sums_due {
-                self.send_sums(index, views_due, sums_due);
-            }
-        }
-    }
-
-    fn send_to_domain(&mut self, node: usize) {
-        let sender = &self.nodes[node];
-        for (to, other) in self.nodes.iter().enumerate() {
-            if to != node && other.domain == sender.domain {
-                let digest = self.last_digests[node].clone();
-                self.messages.push((self.now_ms + TICK_MS, to, sender.name.clone(), digest));
-            }
-        }
-    }
-
-    /// Sends the sum of a domain to its own instances, without the recipient's part, and to all
-    /// others.
-    fn send_sums(&mut self, index: usize, to_own: bool, to_others: bool) {
-        let size = self.pattern.instances;
-        let members = index * size..(index + 1) * size;
-        let name = InstanceMap::domain_peer_name(&self.nodes[members.start].domain);
-        let at = self.now_ms + TRANSFER_MS;
-        let nothing = GateDigest::default();
-        for to in 0..self.nodes.len() {
-            let is_own = members.contains(&to);
-            if (is_own && to_own) || (!is_own && to_others) {
-                let others = members.clone().filter(|member| *member != to);
-                let sum =
-                    GateDigest::sum(&nothing, others.map(|member| &self.last_digests[member]));
-                self.messages.push((at, to, name.clone(), sum));
-            }
-        }
-    }
 }
 
 fn poisson(random: &mut ChaCha8Rng, expected: f64) -> u32 {
@@ -529,30 +379,3 @@
     }
     count
 }
-
-fn route_table(slots: u32) -> RouteTable {
-    let route = |class: &RequestClass| RouteRule {
-        name: class.name.to_owned(),
-        host: "h".to_owned(),
-        prefix: format!("/{}/", class.name),
-        kind: match class.is_generation() {
-            true => RequestKind::Stream { resumable: true },
-            false => RequestKind::NonIdempotent,
-        },
-        timeout: class.patience,
-        target_latency: class.target_latency,
-        gap_target: class.is_generation().then_some(Duration::from_millis(500)),
-        rank: class.rank,
-        pools: vec![RoutePool { service: ServiceName::new(class.service()), weight: 1 }],
-        max_attempts: 2,
-        allows_anonymous: true,
-    };
-    let engine = EngineRule { slots, memory_tokens: 432_654, tokens_per_event: TOKENS_PER_EVENT };
-    let rule = |name: &str, engine| ServiceRule {
-        name: ServiceName::new(name),
-        max_connections: 1_000,
-        engine,
-    };
-    let rules = [rule("llm", Some(engine)), rule("app", None)];
-    RouteTable::new(1, RequestClass::ALL.iter().map(route), rules, [], CallerLimits::default())
-}
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -5,11 +5,11 @@
 
 use crate::session::{PlacementStep, RoutePlan};
 use crate::{
-    AccountUsage, AttemptEvidence, AttemptPermit, AttemptSample, FinalOutcome, FleetView,
-    GateDigest, GateOptions, InstanceMap, MoveDecision, MovePhase, MoveTracker, PeerTracker,
-    PlacementDecision, PlacementQuery, QuotaTracker, RefusalReason, RequestDetails, RetryBudget,
-    RouteMatch, RouteTable, SuspectTracker, TargetKey, TargetRegistry, TargetTracker,
-    UnknownReason, VersionOrder, WaitQueue, WaitTracker,
+    AttemptEvidence, AttemptPermit, AttemptSample, FinalOutcome, FleetView, GateDigest,
+    GateOptions, InstanceMap, MoveDecision, MovePhase, MoveTracker, PeerTracker, PlacementDecision,
+    PlacementQuery, QuotaTracker, RefusalReason, RequestDetails, RetryBudget, RouteMatch,
+    RouteTable, SuspectTracker, TargetKey, TargetRegistry, TargetTracker, UnknownReason,
+    VersionOrder, WaitQueue, WaitTracker,
 };
 
 /// Retry-after for a caller that was refused for lack of capacity. Bursts last 2.5 to 5 s in the
@@ -17,10 +17,6 @@
 const CAPACITY_RETRY: Duration = Duration::from_millis(2_500);
 /// Retry-after for a service without a target; a new target starts within seconds.
 const TARGET_RETRY: Duration = Duration::from_millis(500);
-/// Time after arrival for which every request may wait for capacity, even if its answer will then
-/// be late: slots become free all the time.
-const MIN_WAIT: Duration = Duration::from_millis(60);
-
 /// Share of the lendable slots that all instances together claim while no request waits: small,
 /// because owners and instances in the target's domain also take slots before the next reports.
 const IDLE_CLAIM_SHARE: f64 = 0.1;
@@ -157,17 +153,13 @@
     /// Digest of this instance's work for its peers; the control thread adds the table revisions.
     #[must_use]
     pub fn digest(&self, run: u64, now: MonoTime) -> GateDigest {
-        let usage = |(label, used): (&crate::AccountLabel, u64)| AccountUsage {
-            label: label.clone(),
-            used,
-        };
         let count = |(service, count): (&crate::ServiceName, usize)| {
             (service.clone(), u16::try_from(count).unwrap_or(u16::MAX))
         };
         GateDigest {
             run,
             members: 1,
-            accounts: self.quotas.used().map(usage).collect(),
+            accounts: self.quotas.usage().collect(),
             targets: self.targets.reports(),
             waiting: self.waiting.counts().map(count).collect(),
             moves: self.moves.reports(now),
@@ -210,21 +202,12 @@
         let spent =
             self.longest_waits.time_spent(&route.name, details.deadline.since(details.arrived));
         let is_overdue = spent > route.target_latency;
-        let engine = table.service(service).and_then(|rule| rule.engine);
+        let rank = route.wait_rank(account.and_then(|account| account.rank), is_overdue);
         let plan = RoutePlan {
-            route: route.name.clone(),
-            table_version: table.version(),
-            service: service.clone(),
-            kind: route.kind,
-            target_latency: route.target_latency,
-            gap_target: route.gap_target,
             account: account.map(|account| account.label.clone()),
             units,
-            rank: route.wait_rank(account.and_then(|account| account.rank), is_overdue),
-            on_engine: engine.is_some(),
-            tokens_per_event: engine.map_or(1.0, |engine| engine.tokens_per_event),
-            due: details.deadline.min(details.arrived + route.timeout),
-            tried: Vec::new(),
+            rank,
+            ..RoutePlan::new(&table, route, service, details)
         };
         Ok((plan, route.max_attempts))
     }
@@ -252,7 +235,7 @@
                 FinalOutcome::refused_until(RefusalReason::NoTarget, TARGET_RETRY)
             }
             PlacementDecision::Full => {
-                let until = self.wait_until(details, plan, &query);
+                let until = plan.wait_until(details, self.targets.best_expected(&query));
                 if now < until {
                     return PlacementStep::Wait(until);
                 }
@@ -267,17 +250,6 @@
         PlacementStep::Refuse(outcome)
     }
 
-    /// Until when a request may wait for capacity: as long as its answer can still be on time.
-    fn wait_until(
-        &self,
-        details: &RequestDetails,
-        plan: &RoutePlan,
-        query: &PlacementQuery<'_>,
-    ) -> MonoTime {
-        let latest = plan.target_latency.saturating_sub(self.targets.best_expected(query));
-        (details.arrived + latest.max(MIN_WAIT)).min(plan.due)
-    }
-
     /// Requests that wait for capacity.
     #[must_use]
     pub fn waiting(&self) -> &WaitQueue {
@@ -299,7 +271,8 @@
     ) -> bool {
         let tried: Vec<TargetKey> = plan.tried.iter().copied().chain([target]).collect();
         let query = self.placement_query(details, plan, &tried, 0.0, now);
-        self.has_retry(details, plan, now)
+        !self.suspects.is_blocked(details.fingerprint)
+            && self.budget.has_room(&plan.service, self.peers.instances(), now)
             && matches!(self.targets.place(&query, now, 0.0), PlacementDecision::Send(_))
     }
 
@@ -327,12 +300,6 @@
         }
     }
 
-    /// Whether the retry budget and the list of suspects allow one more attempt.
-    fn has_retry(&self, details: &RequestDetails, plan: &RoutePlan, now: MonoTime) -> bool {
-        !self.suspects.is_blocked(details.fingerprint)
-            && self.budget.has_room(&plan.service, self.peers.instances(), now)
-    }
-
     pub(crate) fn allow_retry(
         &mut self,
         details: &RequestDetails,
@@ -345,7 +312,7 @@
         if evidence == AttemptEvidence::NotSent {
             return Ok(());
         }
-        if self.has_retry(details, plan, now)
+        if !self.suspects.is_blocked(details.fingerprint)
             && self.budget.take(&plan.service, self.peers.instances(), now)
         {
             return Ok(());
--- a/kwg-gate/src/limit/quota_tracker.rs
+++ b/kwg-gate/src/limit/quota_tracker.rs
@@ -3,7 +3,7 @@
 
 use kwg_model::MonoTime;
 
-use crate::{AccountLabel, QuotaRule};
+use crate::{AccountLabel, AccountUsage, QuotaRule};
 
 /// Minimum time between two reports, in seconds, for computing a rate.
 const MIN_SPAN_S: f64 = 0.1;
@@ -184,8 +184,12 @@
     }
 
     /// Units charged at this instance since its start, by account; sent in the digest.
-    pub fn used(&self) -> impl Iterator<Item = (&AccountLabel, u64)> {
-        self.buckets.iter().map(|(label, bucket)| (label, bucket.own_used))
+    pub fn usage(&self) -> impl Iterator<Item = AccountUsage> {
+        let usage = |(label, bucket): (&AccountLabel, &AccountBucket)| AccountUsage {
+            label: label.clone(),
+            used: bucket.own_used,
+        };
+        self.buckets.iter().map(usage)
     }
 }
 
--- a/kwg-gate/src/session/route_plan.rs
+++ b/kwg-gate/src/session/route_plan.rs
@@ -2,7 +2,13 @@
 
 use kwg_model::MonoTime;
 
-use crate::{AccountLabel, RequestKind, ServiceName, TargetKey};
+use crate::{
+    AccountLabel, RequestDetails, RequestKind, RouteRule, RouteTable, ServiceName, TargetKey,
+};
+
+/// Time after arrival for which every request may wait for capacity, even if its answer will then
+/// be late: slots become free all the time.
+const MIN_WAIT: Duration = Duration::from_millis(60);
 
 /// Result of applying the route table to a request, kept for the request's lifetime.
 #[derive(Debug, Clone, PartialEq)]
@@ -34,3 +40,37 @@
     /// The targets of earlier attempts.
     pub(crate) tried: Vec<TargetKey>,
 }
+
+impl RoutePlan {
+    /// The plan of a request on a route, without account and with the most urgent rank.
+    pub(crate) fn new(
+        table: &RouteTable,
+        route: &RouteRule,
+        service: &ServiceName,
+        details: &RequestDetails,
+    ) -> Self {
+        let engine = table.service(service).and_then(|rule| rule.engine);
+        Self {
+            route: route.name.clone(),
+            table_version: table.version(),
+            service: service.clone(),
+            kind: route.kind,
+            target_latency: route.target_latency,
+            gap_target: route.gap_target,
+            account: None,
+            units: 0,
+            rank: 0,
+            on_engine: engine.is_some(),
+            tokens_per_event: engine.map_or(1.0, |engine| engine.tokens_per_event),
+            due: details.deadline.min(details.arrived + route.timeout),
+            tried: Vec::new(),
+        }
+    }
+
+    /// Until when a request may wait for capacity: as long as its answer, which takes `expected`
+    /// at the best target, can still be on time.
+    pub(crate) fn wait_until(&self, details: &RequestDetails, expected: Duration) -> MonoTime {
+        let latest = self.target_latency.saturating_sub(expected);
+        (details.arrived + latest.max(MIN_WAIT)).min(self.due)
+    }
+}
--- a/kwg-gate/tests/quotas.rs
+++ b/kwg-gate/tests/quotas.rs
@@ -47,8 +47,10 @@
             }
         }
         if step % 20 == 0 {
-            let used: Vec<u64> =
-                trackers.iter().map(|tracker| tracker.used().map(|(_, used)| used).sum()).collect();
+            let used: Vec<u64> = trackers
+                .iter()
+                .map(|tracker| tracker.usage().map(|usage| usage.used).sum())
+                .collect();
             for (index, tracker) in trackers.iter_mut().enumerate() {
                 for (peer, used) in used.iter().enumerate().filter(|(peer, _)| *peer != index) {
                     if is_connected(index, step) {
--- a/kwg-gateway/src/control/instance_directory.rs
+++ b/kwg-gateway/src/control/instance_directory.rs
@@ -2,9 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kwg_adapter::{
-    StoreCodec, StoreError, StoreReading, StoreRow, StoreTable, StoreWrite, WriteReply,
-};
+use kwg_adapter::{StoreCodec, StoreError, StoreRow, StoreTable, StoreWrite, WriteReply};
 use kwg_peer::FleetAuthority;
 
 use super::control_state::ControlState;
@@ -65,7 +63,7 @@
     /// failure and returns `None`.
     pub(crate) async fn refresh(&mut self) -> Option<Vec<FleetPeer>> {
         match self.read().await {
-            Ok(reading) => Some(peers_in(&reading)),
+            Ok(rows) => Some(peers_in(&rows)),
             Err(reason) => {
                 log::info!("event=look-failed reason=\"{reason}\"");
                 None
@@ -91,11 +89,11 @@
         let write = StoreWrite { table: StoreTable::Instances, key: &key, value, expected: None };
         self.write(&write).await?;
         loop {
-            let reading = self.read().await?;
-            let row = |key: &str| reading.rows.iter().find(|row| row.key == key);
+            let rows = self.read().await?;
+            let row = |key: &str| rows.iter().find(|row| row.key == key);
             let authority = row(AUTHORITY_KEY).and_then(|row| row.value.as_deref());
             if let Some(authority) = authority.and_then(decode_authority) {
-                return Ok(FleetMembership { authority, peers: peers_in(&reading) });
+                return Ok(FleetMembership { authority, peers: peers_in(&rows) });
             }
             // The first instance creates the authority. The write is conditional, so concurrent
             // writers all use the row of the one that succeeds.
@@ -111,9 +109,21 @@
         }
     }
 
-    async fn read(&mut self) -> Result<StoreReading, String> {
-        let (status, body) = self.call(&StoreCodec::encode_read(StoreTable::Instances, "")).await?;
-        StoreCodec::decode_rows(status, &body).map_err(|error: StoreError| error.to_string())
+    /// Reads all rows; the store returns at most some hundred at a time.
+    async fn read(&mut self) -> Result<Vec<StoreRow>, String> {
+        let (mut rows, mut from) = (Vec::new(), String::new());
+        loop {
+            let request = StoreCodec::encode_read(StoreTable::Instances, &from);
+            let (status, body) = self.call(&request).await?;
+            let reading = StoreCodec::decode_rows(status, &body);
+            let reading = reading.map_err(|error: StoreError| error.to_string())?;
+            let last = reading.rows.last().map(StoreRow::successor);
+            rows.extend(reading.rows);
+            match last.filter(|_| reading.has_more) {
+                Some(next) => from = next,
+                None => return Ok(rows),
+            }
+        }
     }
 
     async fn write(&mut self, write: &StoreWrite<'_>) -> Result<WriteReply, String> {
@@ -131,7 +141,7 @@
 }
 
 /// Decodes the instance rows; skips rows that are malformed.
-fn peers_in(reading: &StoreReading) -> Vec<FleetPeer> {
+fn peers_in(rows: &[StoreRow]) -> Vec<FleetPeer> {
     let peer = |row: &StoreRow| {
         let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
         let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
@@ -139,7 +149,7 @@
         let (name, domain) = (name.to_owned(), domain.to_owned());
         Some(FleetPeer { name, address: address.parse().ok()?, domain })
     };
-    reading.rows.iter().filter_map(peer).collect()
+    rows.iter().filter_map(peer).collect()
 }
 
 fn decode_authority(value: &[u8]) -> Option<FleetAuthority> {
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use futures_lite::FutureExt;
-use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable};
+use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreRow, StoreTable};
 use kwg_model::MonoTime;
 use kwg_wire::SharedTable;
 use rand::random;
@@ -112,7 +112,7 @@
         loop {
             let request = StoreCodec::encode_read(store_table(self.table), &from);
             let reading = self.call(&request, CALL_LIMIT).await?;
-            let last = reading.rows.last().map(|row| row.key.clone());
+            let last = reading.rows.last().map(StoreRow::successor);
             rows.extend(
                 reading
                     .rows
@@ -120,8 +120,7 @@
                     .filter_map(|row| row.value.map(|value| (row.key, row.revision, value))),
             );
             match last.filter(|_| reading.has_more) {
-                // The smallest key greater than the last one.
-                Some(last) => from = format!("{last}\0"),
+                Some(next) => from = next,
                 None => {
                     self.state.apply_snapshot(self.table, rows, reading.revision, "store");
                     return Ok(());
--- a/kwg-standin/src/wire/store_standin.rs
+++ b/kwg-standin/src/wire/store_standin.rs
@@ -10,6 +10,9 @@
 
 use super::wire_server::{RequestReader, serve};
 
+/// Largest number of rows in one page of a table.
+const PAGE_ROWS: usize = 500;
+
 /// How the store responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreMode {
@@ -135,7 +138,10 @@
         };
         let table = parameter("table").unwrap_or_default();
         match path {
-            "/knapweedglade/rows-get" => (200, self.state().read(&table)),
+            "/knapweedglade/rows-get" => {
+                let from = percent_decode(&parameter("from").unwrap_or_default());
+                (200, self.state().read(&table, &from))
+            }
             "/knapweedglade/rows-feed" => {
                 let number = |name| parameter(name).and_then(|text| text.parse().ok()).unwrap_or(0);
                 self.feed(&table, number("after"), Duration::from_millis(number("waitMs")))
@@ -173,6 +179,18 @@
     }
 }
 
+/// Decodes the percent-encoded bytes of a query's value; other bytes stand for themselves.
+fn percent_decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or("").as_bytes().to_vec();
+    for part in parts {
+        let (code, rest) = part.split_at(part.len().min(2));
+        bytes.extend(u8::from_str_radix(code, 16));
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 impl StoreState {
     fn put(&mut self, table: &str, key: &str, value: Option<String>) {
         self.revision += 1;
@@ -188,13 +206,16 @@
         self.changes.push((self.revision, table.to_owned(), key.to_owned(), value));
     }
 
-    fn read(&self, table: &str) -> Value {
-        let rows = self.rows.iter().filter(|((name, _), _)| name == table);
-        let rows = rows.map(|((table, key), (ver, value))| {
+    /// The first page of a table's rows with keys from `from` on.
+    fn read(&self, table: &str, from: &str) -> Value {
+        let rows =
+            self.rows.iter().filter(|((name, key), _)| name == table && key.as_str() >= from);
+        let mut rows = rows.map(|((table, key), (ver, value))| {
             json!({ "table": table, "part": "", "key": key, "value": value, "ver": ver })
         });
-        let rows: Vec<Value> = rows.collect();
-        json!({ "rows": rows, "morePages": false, "ver": self.revision, "nowMs": 1 })
+        let page: Vec<Value> = rows.by_ref().take(PAGE_ROWS).collect();
+        let has_more = rows.next().is_some();
+        json!({ "rows": page, "morePages": has_more, "ver": self.revision, "nowMs": 1 })
     }
 
     fn changes_after(&self, table: &str, after: u64) -> Vec<Value> {
