--- a/kwg-bench/src/overload/overload_replay.rs
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -21,6 +21,8 @@
 pub(super) const TOKENS_PER_EVENT: f64 = 18.0;
 /// Part of the time before which requests are not counted.
 const WARM_UP_MS: u64 = 4_000;
+/// Part of the time from which on requests are not counted, since their answers may not end in it.
+const COOL_DOWN_MS: u64 = 6_000;
 /// Share of its time left that a caller waits at most before it comes back.
 const MAX_RETURN_SHARE: u32 = 3;
 
@@ -51,7 +53,7 @@
     /// use kwg_bench::{LoadPattern, OverloadReplay};
     ///
     /// let mut pattern = LoadPattern::all().remove(0);
-    /// pattern.length_ms = 6_000;
+    /// pattern.length_ms = 12_000;
     /// assert!(OverloadReplay::run(&pattern, 1).worth() > 0.5);
     /// ```
     #[must_use]
@@ -133,7 +135,8 @@
             output: (class.output_tokens * size()) as u64,
         };
         let work_ms = class.work_ms * (0.5 + 0.5 * size());
-        let is_counted = self.now_ms >= WARM_UP_MS;
+        let counted = WARM_UP_MS..self.pattern.length_ms.saturating_sub(COOL_DOWN_MS);
+        let is_counted = counted.contains(&self.now_ms);
         self.tally.classes[index].asked += u32::from(is_counted);
         self.requests.push(ReplayRequest {
             class: index,
--- a/kwg-bench/tests/overload.rs
+++ b/kwg-bench/tests/overload.rs
@@ -4,7 +4,7 @@
 use kwg_bench::{ClassTally, LoadPattern, OverloadReplay, OverloadTally, RequestClass};
 
 /// Length of a replay, in milliseconds.
-const LENGTH_MS: u64 = 9_000;
+const LENGTH_MS: u64 = 14_000;
 
 fn replay(name: &str, seed: u64) -> OverloadTally {
     let pattern = LoadPattern::all().into_iter().find(|pattern| pattern.name == name);
