--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -227,6 +227,32 @@
     assert_eq!(fleet.store.get("kwg-instances", "instance/stop"), None, "its row is removed");
 }
 
+#[test]
+fn connections_in_the_accept_queue_of_a_stopping_gateway_get_an_answer() {
+    let fleet = TestFleet::start("queued", 1);
+    fleet.gateway.terminate();
+    let stopped = Instant::now();
+    std::thread::sleep(Duration::from_millis(2_600));
+    // The process is paused when it would close its listener, and connections queue up meanwhile.
+    fleet.gateway.signal("-STOP");
+    let mut queued: Vec<TcpStream> = (0..20)
+        .map(|number| {
+            let mut stream = TcpStream::connect(fleet.gateway.front).expect("listening");
+            let call = request("GET", "/scan/a", &format!("r{number}"));
+            stream.write_all(call.as_bytes()).expect("connected");
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(3_000).saturating_sub(stopped.elapsed()));
+    fleet.gateway.signal("-CONT");
+    for stream in &mut queued {
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid timeout");
+        let answer = read_answer(stream);
+        assert!(matches!(answer.status, 200 | 503), "status {}", answer.status);
+        assert!(answer.is_complete);
+    }
+}
+
 #[test]
 fn a_stopping_gateway_still_applies_changes_of_tables_and_targets() {
     let fleet = TestFleet::start("follow", 2);
--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -13,8 +13,12 @@
 const MESH_SIZE: usize = 16;
 /// How long the readers that a relay has named stay in office without a further view of a relay.
 const READERS_KEPT: Duration = Duration::from_millis(1_600);
-/// Number of store readers in each failure domain of a large fleet, so that one may fail.
+/// Number of store readers in each failure domain of a fleet that is no full mesh, so that one may
+/// fail.
 const READERS_PER_DOMAIN: usize = 2;
+/// The same in a domain whose instances exchange digests through a relay. Each change in the store
+/// costs a call of every reader, and the sums of the other domains show a reader that lags.
+const READERS_PER_LARGE_DOMAIN: usize = 1;
 /// Additional delay of each further instance before it takes over as store reader from instances
 /// that the store has stopped answering. Long enough for a reader to replace a reset connection to
 /// the store, which takes a few hundred milliseconds.
@@ -241,9 +245,9 @@
             || self.election.relays(&self.candidates(now), now).contains(&self.own.as_str())
     }
 
-    /// Whether this instance is a store reader. In a large fleet each failure domain has
-    /// `READERS_PER_DOMAIN` of them, which pass changes on to the others. In a large domain the
-    /// relay names them.
+    /// Whether this instance is a store reader. In a fleet that is no full mesh each failure domain
+    /// has two of them, which pass changes on to the others; a large domain has one, which its
+    /// relay names.
     #[must_use]
     pub fn is_store_reader(&self, now: MonoTime) -> bool {
         if self.is_mesh() {
@@ -261,6 +265,11 @@
         }
     }
 
+    /// Number of store readers of this domain.
+    fn reader_count(&self, now: MonoTime) -> usize {
+        if self.is_relayed(now) { READERS_PER_LARGE_DOMAIN } else { READERS_PER_DOMAIN }
+    }
+
     /// Whether `name` is one of the store readers: the instances of this domain with the first
     /// names that the store answers. If the store stops answering one, the next instance by name
     /// takes over at once and the following ones after increasing delays.
@@ -272,8 +281,9 @@
                 member.domain == self.domain && now.since(member.last_seen) < SILENT_AFTER
             })
             .collect();
+        let reader_count = self.reader_count(now);
         let own_before = usize::from(self.own.as_str() < name);
-        let surplus = (live.len() + own_before).saturating_sub(READERS_PER_DOMAIN);
+        let surplus = (live.len() + own_before).saturating_sub(reader_count);
         let surplus = u32::try_from(surplus).unwrap_or(u32::MAX);
         let takeover_delay = TAKEOVER_STEP.saturating_mul(surplus).min(MAX_TAKEOVER_DELAY);
         let reads = |member: &&&RosterMember| {
@@ -281,7 +291,7 @@
                 || member.store_answered.is_some_and(|at| now.since(at) < takeover_delay)
         };
         let own_reads = usize::from(own_before == 1 && self.own_store_answers);
-        live.iter().filter(reads).count() + own_reads < READERS_PER_DOMAIN
+        live.iter().filter(reads).count() + own_reads < reader_count
     }
 
     /// Records whether the store answers this instance.
--- a/kwg-gateway/src/socket/accept_each.rs
+++ b/kwg-gateway/src/socket/accept_each.rs
@@ -8,7 +8,7 @@
 
 /// Accepts connections forever and passes each one to `handle`.
 pub(crate) async fn accept_each(
-    listener: Async<TcpListener>,
+    listener: &Async<TcpListener>,
     mut handle: impl FnMut(Async<TcpStream>),
 ) {
     loop {
--- a/kwg-gateway/src/traffic/ready_server.rs
+++ b/kwg-gateway/src/traffic/ready_server.rs
@@ -27,7 +27,7 @@
     /// Serves each connection in its own task, forever.
     pub(crate) async fn run(self, executor: Rc<LocalExecutor<'static>>) {
         let state = self.state;
-        accept_each(self.listener, |stream| {
+        accept_each(&self.listener, |stream| {
             let state = Rc::clone(&state);
             executor.spawn(async move { answer(&state, stream).await }).detach();
         })
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -68,9 +68,9 @@
         executor.spawn(publish_reports(Rc::clone(&state), self.run_id, self.reports)).detach();
         block_on(executor.run(async {
             apply_inputs(&state, &self.inputs).await;
-            // The kernel refuses further callers, so that they try another instance at once.
-            accepting.cancel().await;
             state.close_idle();
+            // The kernel refuses further callers, so that they try another instance at once.
+            accepting.await;
             let drained = async {
                 while state.open_connections.get() > 0 {
                     state.clock.sleep(DRAIN_CHECK_INTERVAL).await;
