--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -340,11 +340,17 @@
             .collect()
     }
 
-    /// Sum of the digests of all live instances of this failure domain.
+    /// Sum of the digests of all live instances of this failure domain. Silent ones contribute
+    /// their usage of accounts: if it left the sum, it would be charged again on their return.
     #[must_use]
     pub fn domain_sum(&self, own: &GateDigest, now: MonoTime) -> GateDigest {
-        let members = self.members.iter().filter(|(name, _)| self.is_in_sum(name, now));
-        GateDigest::sum(own, members.filter_map(|(_, member)| member.digest.as_ref()))
+        let members = self.members.values().filter(|member| member.domain == self.domain);
+        let digests = members.filter_map(|member| Some((member, member.digest.as_ref()?)));
+        let (live, silent): (Vec<_>, Vec<_>) =
+            digests.partition(|(member, _)| now.since(member.last_seen) < SILENT_AFTER);
+        let silent: Vec<GateDigest> =
+            silent.into_iter().map(|(_, digest)| digest.usage_only()).collect();
+        GateDigest::sum(own, live.into_iter().map(|(_, digest)| digest).chain(&silent))
     }
 
     /// Records a domain's sum if it is new; returns whether it is. The sum of a new relay is
@@ -368,14 +374,6 @@
         is_new
     }
 
-    /// Whether the digest of an instance of this domain is part of [`Self::domain_sum`].
-    #[must_use]
-    pub fn is_in_sum(&self, name: &str, now: MonoTime) -> bool {
-        self.members.get(name).is_some_and(|member| {
-            member.domain == self.domain && now.since(member.last_seen) < SILENT_AFTER
-        })
-    }
-
     /// Marks all members of another domain as live, as reported by its relay.
     pub fn refresh_domain(&mut self, domain: &str, now: MonoTime) {
         let members = self.members.values_mut().filter(|member| member.domain == domain);
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -68,6 +68,11 @@
         sum
     }
 
+    /// The usage of accounts alone, without the instance's present work.
+    pub(crate) fn usage_only(&self) -> Self {
+        Self { accounts: self.accounts.clone(), ..Self::default() }
+    }
+
     /// Removes the work of one of the instances that this sum includes. The mean durations stay
     /// those of all instances.
     pub(crate) fn subtract(&mut self, part: &Self) {
--- a/kwg-gate/tests/relays.rs
+++ b/kwg-gate/tests/relays.rs
@@ -90,7 +90,7 @@
                 let sum = roster.domain_sum(&digest, now);
                 let view = exchange.next_view(DOMAIN, sum, listing);
                 for to in roster.domain_peers(now) {
-                    let included = exchange.last_of(to).filter(|_| roster.is_in_sum(to, now));
+                    let included = exchange.last_of(to);
                     let view = DomainView { included, ..view.clone() };
                     messages.push((own.clone(), to.to_owned(), Message::View(view)));
                 }
--- a/kwg-gate/tests/roster.rs
+++ b/kwg-gate/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kwg_gate::{FleetRoster, GateDigest};
+use kwg_gate::{AccountLabel, AccountUsage, FleetRoster, GateDigest, TargetCode, TargetReport};
 use kwg_model::MonoTime;
 
 fn address(number: u16) -> std::net::SocketAddr {
@@ -92,3 +92,25 @@
     assert!(roster.accept_sum("b", "b-01", (8, 10), now + Duration::from_millis(1_500)));
     assert!(!roster.accept_sum("a", "a-00", (7, 1), now), "the sum is of the own domain");
 }
+
+#[test]
+fn the_usage_of_a_silent_instance_stays_in_the_sum_and_its_load_does_not() {
+    // An instance that freezes for seconds would otherwise have all of its usage charged again.
+    let now = MonoTime::from_millis(1);
+    let mut roster = roster("a-00", 10, now);
+    let usage = AccountUsage { label: AccountLabel::new("hule"), used: 500_000 };
+    let report = TargetReport { running: 3, ..TargetReport::default() };
+    let digest = GateDigest {
+        members: 1,
+        accounts: vec![usage.clone()],
+        targets: vec![(TargetCode::of("i-1"), report)],
+        ..GateDigest::default()
+    };
+    roster.keep_digest("a-03", &digest);
+    let own = GateDigest { members: 1, ..GateDigest::default() };
+    assert_eq!(roster.domain_sum(&own, now).targets.len(), 1);
+    let later = now + Duration::from_millis(1_500);
+    let sum = roster.domain_sum(&own, later);
+    assert_eq!((sum.members, sum.targets.len()), (1, 0));
+    assert_eq!(sum.accounts, [usage]);
+}
--- a/kwg-gateway/src/control/digest_handler.rs
+++ b/kwg-gateway/src/control/digest_handler.rs
@@ -157,8 +157,7 @@
             let listing = self.roster.domain_listing(self.state.settings.peer, now);
             let view = self.exchange.next_view(&domain, sum, listing);
             for name in self.roster.domain_peers(now) {
-                let included =
-                    self.exchange.last_of(name).filter(|_| self.roster.is_in_sum(name, now));
+                let included = self.exchange.last_of(name);
                 let view = DomainView { included, ..view.clone() };
                 self.outbox.send(name, GateMessage::View(Box::new(view)));
             }
