--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -127,6 +127,12 @@
         self.members.iter().map(|(name, member)| (name.as_str(), member.address))
     }
 
+    /// Address of another instance, if it is known.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.members.get(name).map(|member| member.address)
+    }
+
     /// Whether all instances exchange digests with each other.
     #[must_use]
     pub fn is_mesh(&self) -> bool {
--- a/kwg-gateway/src/control/digest_handler.rs
+++ b/kwg-gateway/src/control/digest_handler.rs
@@ -1,5 +1,4 @@
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,9 +65,7 @@
         let now = self.state.clock.now();
         let mut count = 0;
         for peer in peers {
-            let known: Option<SocketAddr> =
-                self.roster.addresses().find(|(name, _)| *name == peer.name).map(|(_, at)| at);
-            if known != Some(peer.address) {
+            if self.roster.address(&peer.name) != Some(peer.address) {
                 self.roster.record_member(&peer.name, peer.address, &peer.domain, now);
                 count += 1;
             }
