fix(kwg-gateway): a peer that floods a connection yields after each full read

Cause: reads yielded after 128 KiB. With 16 attempts whose targets send without end in chunks of 4 bytes, one turn of all tasks took half a second, and the final answer came up to 0.5 s after the deadline. Now a read that fills its buffer yields; shorter reads, as of streams of tokens, do not.

--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -8,9 +8,6 @@
 
 /// Size of one read, in bytes. An event of a stream is far smaller, a prompt a little larger.
 const READ_BYTES: usize = 16 << 10;
-/// Number of reads after which the task yields: a peer that sends faster than its bytes are processed
-/// must not keep timers and other tasks waiting.
-const READS_PER_TURN: u32 = 8;
 /// TCP user timeout: how long sent bytes may stay unacknowledged. A path that loses packets
 /// recovers within a second; one that is silent for longer has failed.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
@@ -27,8 +24,6 @@
 pub(crate) struct SocketReader<'a> {
     stream: &'a Async<TcpStream>,
     inbox: &'a mut Vec<u8>,
-    /// Number of reads since the last turn.
-    reads: u32,
 }
 
 /// The write half of a [`ByteSocket`].
@@ -60,7 +55,7 @@
 
     /// Borrows both halves, for concurrent use.
     pub(crate) fn split(&mut self) -> (SocketReader<'_>, SocketWriter<'_>) {
-        let reader = SocketReader { stream: &self.stream, inbox: &mut self.inbox, reads: 0 };
+        let reader = SocketReader { stream: &self.stream, inbox: &mut self.inbox };
         (reader, SocketWriter(&self.stream))
     }
 
@@ -86,15 +81,17 @@
 
     /// Reads more bytes into the buffer; returns 0 at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
-        self.reads += 1;
-        if self.reads.is_multiple_of(READS_PER_TURN) {
-            yield_now().await;
-        }
         let before = self.inbox.len();
         self.inbox.resize(before + READ_BYTES, 0);
         let mut guard = TruncateGuard { inbox: self.inbox, length: before };
         let count = (&mut &*self.stream).read(&mut guard.inbox[before..]).await?;
         guard.length += count;
+        drop(guard);
+        // A peer that sends faster than its bytes are processed must not keep timers and other
+        // tasks waiting.
+        if count == READ_BYTES {
+            yield_now().await;
+        }
         Ok(count)
     }
 
