--- a/knapweedglade/tests/gateway.rs
+++ b/knapweedglade/tests/gateway.rs
@@ -4,11 +4,11 @@
 mod support;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 use kwg_standin::{RunnerMode, SampleFleet, StoreMode};
-use support::{TestFleet, call_at, read_answer, request, wait_until};
+use support::{GatewayChild, TestFleet, call_at, read_answer, request, wait_until};
 
 const COMPLETE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
     id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n";
@@ -227,6 +227,32 @@
     assert_eq!(fleet.store.get("kwg-instances", "instance/stop"), None, "its row is removed");
 }
 
+#[test]
+fn connections_in_the_accept_queue_of_a_stopping_gateway_get_an_answer() {
+    let fleet = TestFleet::start("queued", 1);
+    fleet.gateway.terminate();
+    let stopped = Instant::now();
+    std::thread::sleep(Duration::from_millis(2_600));
+    // The process is paused when it would close its listener, and connections queue up meanwhile.
+    fleet.gateway.signal("-STOP");
+    let mut queued: Vec<TcpStream> = (0..20)
+        .map(|number| {
+            let mut stream = TcpStream::connect(fleet.gateway.front).expect("listening");
+            let call = request("GET", "/scan/a", &format!("r{number}"));
+            stream.write_all(call.as_bytes()).expect("connected");
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(3_000).saturating_sub(stopped.elapsed()));
+    fleet.gateway.signal("-CONT");
+    for stream in &mut queued {
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid timeout");
+        let answer = read_answer(stream);
+        assert!(matches!(answer.status, 200 | 503), "status {}", answer.status);
+        assert!(answer.is_complete);
+    }
+}
+
 #[test]
 fn a_stopping_gateway_still_applies_changes_of_tables_and_targets() {
     let fleet = TestFleet::start("follow", 2);
@@ -249,6 +275,23 @@
     assert_eq!(fleet.runners[0].received().len(), before, "the draining runner gets no requests");
 }
 
+#[test]
+fn instances_beyond_the_first_page_of_rows_are_found() {
+    let SampleFleet { store, .. } = SampleFleet::start(1).expect("ports are free");
+    let last = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    last.set_read_timeout(Some(Duration::from_secs(10))).expect("a valid timeout");
+    for number in 0..600 {
+        let row = format!("127.0.0.1:{} wien", 10_000 + number);
+        store.put("kwg-instances", &format!("instance/b-{number}"), Some(row.as_bytes()));
+    }
+    let row = format!("{} graz", last.local_addr().expect("bound"));
+    store.put("kwg-instances", "instance/z", Some(row.as_bytes()));
+    let gateway = GatewayChild::start("paged", &store);
+    gateway.wait_ready();
+    let received = last.recv(&mut [0; 2_048]);
+    assert!(received.is_ok(), "the only other instance of the domain is not contacted");
+}
+
 #[test]
 fn metrics_are_served() {
     let fleet = TestFleet::start("metrics", 1);
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -70,7 +70,7 @@
             registry: RefCell::default(),
             store_available: RefCell::default(),
             table_version: Cell::new(0),
-            is_store_reader: Cell::new(true),
+            is_store_reader: Cell::new(false),
             is_relay: Cell::new(false),
             changes: pipes.changes,
             move_tasks: pipes.move_tasks,
@@ -87,8 +87,8 @@
         self.mirrors.borrow().get(&table).map_or(0, TableMirror::content_revision)
     }
 
-    /// Whether this instance reads the store itself. Otherwise the store readers of its failure
-    /// domain forward changes to it.
+    /// Whether this instance follows the store itself; false until it knows the other instances.
+    /// Otherwise the store readers of its failure domain forward changes to it.
     pub(crate) fn is_store_reader(&self) -> bool {
         self.is_store_reader.get()
     }
@@ -99,11 +99,14 @@
         self.is_relay.get()
     }
 
-    /// Sets whether this instance is the domain relay, and logs a change.
-    pub(crate) fn set_relay(&self, is_relay: bool) {
-        if self.is_relay.replace(is_relay) != is_relay {
+    /// Sets whether this instance is the domain relay; logs a change and returns whether there was
+    /// one.
+    pub(crate) fn set_relay(&self, is_relay: bool) -> bool {
+        let is_change = self.is_relay.replace(is_relay) != is_relay;
+        if is_change {
             log::info!("event=speaker-changed speaks={is_relay}");
         }
+        is_change
     }
 
     /// Sets whether this instance reads the store itself; logs a change and returns whether there
--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 /// Size of one read, in bytes. An event of a stream is far smaller, a prompt a little larger.
@@ -85,6 +86,12 @@
         let mut guard = TruncateGuard { inbox: self.inbox, length: before };
         let count = (&mut &*self.stream).read(&mut guard.inbox[before..]).await?;
         guard.length += count;
+        drop(guard);
+        // A peer that sends faster than its bytes are processed must not keep timers and other
+        // tasks waiting.
+        if count == READ_BYTES {
+            yield_now().await;
+        }
         Ok(count)
     }
 
