--- a/kwg-gate/src/peer/digest_mirror.rs
+++ b/kwg-gate/src/peer/digest_mirror.rs
@@ -18,7 +18,8 @@
     /// Applies a delta and returns the peer's digest, or `None` for a delta that is not newer than
     /// the last one.
     pub fn apply(&mut self, delta: &DigestDelta) -> Option<GateDigest> {
-        let before = self.last.filter(|(run, _)| *run == delta.run).map(|(_, number)| number);
+        let changes = &delta.changes;
+        let before = self.last.filter(|(run, _)| *run == changes.run).map(|(_, number)| number);
         if before.is_some_and(|before| delta.number <= before) && !delta.is_full {
             return None;
         }
@@ -30,18 +31,18 @@
         } else if before.is_none_or(|before| before + 1 != delta.number) {
             self.has_gap = true;
         }
-        self.last = Some((delta.run, delta.number));
-        self.suspects.extend(delta.suspects.iter().copied());
-        for usage in &delta.accounts {
+        self.last = Some((changes.run, delta.number));
+        self.suspects.extend(changes.suspects.iter().copied());
+        for usage in &changes.accounts {
             self.accounts.insert(usage.label.clone(), usage.used);
         }
-        for (code, report) in &delta.targets {
+        for (code, report) in &changes.targets {
             match *report == TargetReport::default() {
                 true => self.targets.remove(code),
                 false => self.targets.insert(*code, *report),
             };
         }
-        Some(self.digest(delta))
+        Some(self.digest(changes))
     }
 
     /// Whether the sender must be asked for a complete delta.
@@ -56,22 +57,19 @@
         self.last
     }
 
-    fn digest(&self, delta: &DigestDelta) -> GateDigest {
+    /// The whole digest after these changes.
+    fn digest(&self, changes: &GateDigest) -> GateDigest {
         let usage = |(label, used): (&AccountLabel, &u64)| AccountUsage {
             label: label.clone(),
             used: *used,
         };
         GateDigest {
-            run: delta.run,
-            members: delta.members,
-            orders_revision: delta.orders_revision,
-            registry_revision: delta.registry_revision,
-            store_answers: delta.store_answers,
             accounts: self.accounts.iter().map(usage).collect(),
             targets: self.targets.iter().map(|(code, report)| (*code, *report)).collect(),
-            waiting: delta.waiting.clone(),
-            moves: delta.moves.clone(),
+            waiting: changes.waiting.clone(),
+            moves: changes.moves.clone(),
             suspects: self.suspects.iter().map(|(print, cuts)| (*print, *cuts)).collect(),
+            ..*changes
         }
     }
 }
--- a/kwg-gate/src/peer/digest_source.rs
+++ b/kwg-gate/src/peer/digest_source.rs
@@ -37,20 +37,15 @@
             self.targets.clear();
             self.suspects.clear();
         }
-        DigestDelta {
-            run: digest.run,
-            number: self.number,
-            is_full,
-            members: digest.members,
-            orders_revision: digest.orders_revision,
-            registry_revision: digest.registry_revision,
-            store_answers: digest.store_answers,
+        let changes = GateDigest {
             accounts: self.changed_accounts(digest),
             targets: self.changed_targets(digest),
             waiting: digest.waiting.clone(),
             moves: digest.moves.clone(),
             suspects: self.changed_suspects(digest),
-        }
+            ..*digest
+        };
+        DigestDelta { number: self.number, is_full, changes }
     }
 
     fn changed_accounts(&mut self, digest: &GateDigest) -> Vec<AccountUsage> {
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -7,7 +7,7 @@
 /// State of an instance, or the sum of a failure domain. Peers receive it several times a second as
 /// [`DigestDelta`](crate::DigestDelta)s. The usage and answer counts only grow within a run, so a
 /// lost digest only delays their update.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GateDigest {
     /// Number that identifies the sender's run; 0 in a sum.
     pub run: u64,
--- a/kwg-gate/tests/digests.rs
+++ b/kwg-gate/tests/digests.rs
@@ -45,8 +45,8 @@
     digest.targets[17].1.running += 1;
     digest.accounts[3].used += 500;
     let delta = source.next_delta(&digest);
-    assert_eq!((delta.targets.len(), delta.accounts.len()), (1, 1));
-    assert_eq!(delta.targets[0], digest.targets[17]);
+    assert_eq!((delta.changes.targets.len(), delta.changes.accounts.len()), (1, 1));
+    assert_eq!(delta.changes.targets[0], digest.targets[17]);
 }
 
 #[test]
@@ -91,7 +91,8 @@
     mirror.apply(&second);
     mirror.apply(&third);
     assert_eq!(mirror.apply(&second), None);
-    let run = DigestDelta { run: 8, number: 1, is_full: true, ..DigestDelta::default() };
+    let changes = GateDigest { run: 8, ..GateDigest::default() };
+    let run = DigestDelta { number: 1, is_full: true, changes };
     assert!(mirror.apply(&run).is_some_and(|digest| digest.targets.is_empty()), "a new run");
 }
 
