--- a/kwg-gate/src/peer/digest_source.rs
+++ b/kwg-gate/src/peer/digest_source.rs
@@ -2,7 +2,7 @@
 
 use crate::{AccountLabel, AccountUsage, DigestDelta, GateDigest, TargetCode, TargetReport};
 
-/// Every so many deltas, a complete one is sent.
+/// Number of deltas after which a complete one is sent.
 const FULL_INTERVAL: u32 = 64;
 
 /// Turns an instance's digests into deltas. All recipients get the same deltas.
--- a/kwg-gate/src/peer/fleet_roster.rs
+++ b/kwg-gate/src/peer/fleet_roster.rs
@@ -11,7 +11,7 @@
 /// the other domains. In a larger domain instances send their digests to the relay only, which sends
 /// them the sums of all domains, so that the messages of an instance do not grow with the fleet.
 const MESH_SIZE: usize = 16;
-/// How long the readers that a relay has named stay in office without a further view of a relay.
+/// How long the readers that a relay has named remain valid without a further view of a relay.
 const READERS_KEPT: Duration = Duration::from_millis(1_600);
 /// Number of store readers in each failure domain of a fleet that is no full mesh, so that one may
 /// fail.
--- a/kwg-gate/src/peer/relay_election.rs
+++ b/kwg-gate/src/peer/relay_election.rs
@@ -17,8 +17,8 @@
 /// Finds the relay of a large failure domain, as one instance sees it.
 ///
 /// Candidates are ranked by name. An instance acts as relay when no relay sends views and all
-/// candidates before it are silent, and stops when an earlier one acts as well. A relay stays in
-/// office when an earlier candidate returns.
+/// candidates before it are silent, and stops when an earlier one acts as well. An earlier candidate
+/// that returns does not replace the relay.
 ///
 /// ```
 /// use std::time::Duration;
@@ -46,7 +46,7 @@
     suspects: BTreeMap<String, MonoTime>,
     /// Since when the relay has been waited for.
     waiting_since: MonoTime,
-    /// Number of candidates in a row that were silent, as a power of two.
+    /// Number of timeouts in a row; each one passes over twice as many candidates as the last.
     misses: u32,
 }
 
@@ -119,7 +119,7 @@
         self.is_acting = is_first && now.since(self.started) >= WARM_UP;
     }
 
-    /// The instances that receive the digests of all others: the relay in office and the first
+    /// The instances that receive the digests of all others: the current relay and the first
     /// candidates.
     #[must_use]
     pub fn relays<'a>(&'a self, candidates: &[&'a str], now: MonoTime) -> Vec<&'a str> {
--- a/kwg-gate/tests/relays.rs
+++ b/kwg-gate/tests/relays.rs
@@ -210,14 +210,13 @@
     domain.run_ms(4_000);
     domain.stop((0..17).map(name));
     let span = domain.repaired_after_ms();
-    // 17 candidates in a row are silent: they are passed over by 1, 2, 4, 8 and 16.
-    assert!(span <= 5 * REPLACED_WITHIN_MS, "{span} ms");
     assert_eq!(domain.relays(), ["a-017"]);
     assert!(domain.readers() <= 2);
+    assert!(span <= REPLACED_WITHIN_MS, "{span} ms");
 }
 
 #[test]
-fn a_relay_that_returns_leaves_its_successor_in_office() {
+fn a_relay_that_returns_does_not_replace_its_successor() {
     let mut domain = Domain::new(50);
     domain.run_ms(4_000);
     domain.stop([name(0)]);
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -210,8 +210,8 @@
         }
     }
 
-    /// Relays a stream to the caller, event by event. Bytes that complete no event do not count as
-    /// a sign of life.
+    /// Relays a stream to the caller, event by event. Bytes that complete no event do not end
+    /// the silence.
     async fn relay_stream(
         &self,
         head: &ReplyHead,
