feat(kwg-gateway): log lines that tell the causes of late drains apart

Changes of targets that a full reading or a peer's copy brings were not logged, nor that a removed target is still used, nor that a poll was broken off by the instance itself. target-changed names its source now, target-held says for how long, poll-broken-off how old the poll was. No decision changes.

--- a/kwg-gate/src/registry/target_registry.rs
+++ b/kwg-gate/src/registry/target_registry.rs
@@ -97,6 +97,12 @@
         due
     }
 
+    /// Until when a target is assumed to exist although the store no longer has its entry; none if it has.
+    #[must_use]
+    pub fn held_until(&self, id: &TargetId) -> Option<MonoTime> {
+        self.lapsed.get(id).copied()
+    }
+
     /// When the next lapsed entry is due for [`Self::expire`].
     #[must_use]
     pub fn next_expiry(&self) -> Option<MonoTime> {
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -6,6 +6,7 @@
 use kwg_adapter::{ConfigDecoder, EntryDecoder, OrderCodec, StoreRow};
 use kwg_clock::ClockHandle;
 use kwg_gate::{MoveDecision, MoveReport, TargetEntry, TargetId, TargetRegistry};
+use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use kwg_wire::SharedTable;
@@ -149,7 +150,7 @@
     /// Applies changes from the store's feed and queues the new ones for forwarding to peers.
     pub(crate) fn apply_feed(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
         let base = self.content_revision(table);
-        let new_rows = self.apply_changes(table, rows, revision);
+        let new_rows = self.apply_changes(table, rows, revision, "store");
         let changes = TableChanges { table, base, rows: new_rows };
         if !changes.rows.is_empty() && self.changes.try_send(changes).is_err() {
             self.metrics.record_drop("changes");
@@ -157,12 +158,13 @@
     }
 
     /// Applies changes of a table and updates the traffic thread; returns the changes that were
-    /// new.
+    /// new. `source` is the store or the name of a peer.
     pub(crate) fn apply_changes(
         &self,
         table: SharedTable,
         rows: Vec<StoreRow>,
         revision: u64,
+        source: &str,
     ) -> Vec<StoreRow> {
         let new_rows = {
             let mut mirrors = self.mirrors.borrow_mut();
@@ -176,8 +178,10 @@
                     let entry =
                         row.value.as_deref().and_then(|value| decode_entry(&row.key, value));
                     let id = TargetId::new(&row.key);
-                    log_target(&id, entry.as_ref(), row.revision);
-                    self.registry.borrow_mut().apply(row.revision, &id, entry, now);
+                    log_target(&id, entry.as_ref(), row.revision, source);
+                    let mut registry = self.registry.borrow_mut();
+                    registry.apply(row.revision, &id, entry, now);
+                    log_if_held(&registry, &id, now);
                 }
                 if !new_rows.is_empty() {
                     self.publish_registry();
@@ -215,7 +219,19 @@
                 let entries: Vec<TargetEntry> =
                     rows.iter().filter_map(|(key, _, value)| decode_entry(key, value)).collect();
                 let now = self.clock.now();
-                self.registry.borrow_mut().replace(revision, entries, now);
+                let mut registry = self.registry.borrow_mut();
+                let known: Vec<TargetEntry> = registry.entries().cloned().collect();
+                for entry in entries.iter().filter(|entry| !known.contains(entry)) {
+                    log_target(&entry.id, Some(entry), revision, source);
+                }
+                registry.replace(revision, entries, now);
+                for TargetEntry { id, .. } in &known {
+                    if registry.get(id).is_none() {
+                        log_target(id, None, revision, source);
+                    }
+                    log_if_held(&registry, id, now);
+                }
+                drop(registry);
                 self.publish_registry();
             }
         }
@@ -225,7 +241,7 @@
     pub(crate) fn expire_targets(&self) {
         let removed = self.registry.borrow_mut().expire(self.clock.now());
         if !removed.is_empty() {
-            removed.iter().for_each(|id| log_target(id, None, 0));
+            removed.iter().for_each(|id| log_target(id, None, 0, "grace-over"));
             self.publish_registry();
         }
     }
@@ -325,8 +341,9 @@
     }
 }
 
-fn log_target(id: &TargetId, entry: Option<&TargetEntry>, revision: u64) {
+fn log_target(id: &TargetId, entry: Option<&TargetEntry>, revision: u64, source: &str) {
     let line = EventLine::new("target-changed").field("target", id).field("revision", revision);
+    let line = line.field("source", source);
     let line = match entry {
         Some(entry) => line
             .field("service", &entry.service)
@@ -337,3 +354,11 @@
     };
     log::info!("{line}");
 }
+
+/// Logs that a target is still used although its entry is gone.
+fn log_if_held(registry: &TargetRegistry, id: &TargetId, now: MonoTime) {
+    if let Some(until) = registry.held_until(id) {
+        let line = EventLine::new("target-held").field("target", id);
+        log::info!("{}", line.field("for_ms", until.since(now).as_millis()));
+    }
+}
--- a/kwg-gateway/src/control/peer_handler.rs
+++ b/kwg-gateway/src/control/peer_handler.rs
@@ -208,7 +208,7 @@
                     value,
                     revision,
                 });
-                let rows = self.state.apply_changes(table, rows.collect(), revision);
+                let rows = self.state.apply_changes(table, rows.collect(), revision, from.as_str());
                 if !rows.is_empty() && self.digests.passes_on_changes() {
                     self.forward_changes(&TableChanges { table, base, rows });
                 }
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreRow, StoreTable};
 use kwg_model::MonoTime;
+use kwg_telemetry::EventLine;
 use kwg_wire::SharedTable;
 use rand::random;
 
@@ -137,11 +138,14 @@
         let wait = until_recheck.map_or(FEED_WAIT, |span| span.min(FEED_WAIT));
         let request = StoreCodec::encode_feed(store_table(self.table), after, wait);
         while self.wakeups.try_recv().is_ok() {}
-        let wakeups = self.wakeups.clone();
+        let (wakeups, state, table) = (self.wakeups.clone(), Rc::clone(&self.state), self.table);
         let woken = async {
             if wakeups.recv().await.is_err() {
                 std::future::pending::<()>().await;
             }
+            let line = EventLine::new("poll-broken-off").field("table", table_name(table));
+            let age = state.clock.now().since(now);
+            log::info!("{}", line.field("age_ms", age.as_millis()));
             let reason = "a peer is ahead";
             Err(FeedError::Call(io::Error::new(io::ErrorKind::TimedOut, reason)))
         };
