fix(kwg-gate): a full copy of a table knows up to which revision it is complete

What callers saw: after a restart, an instance used a target that had left, as long as the table did not change again; and all that time it pulled the table from a peer every 0.6 s, and broke off its own long poll.

Cause: a full reading has no row for a removal, and TableMirror took the revision of its last change from the rows that were left. So the instance counted as behind peers that had seen the removal, pulled their copies, which left it behind again, and accepted copies older than its own reading: with a lagging peer, a target that had been removed came back, and its feed, which goes on after the reading, did not bring the removal again.

Why it works: how far a copy is complete is kept beside its rows. Peers' reports are compared with that, a copy is applied only if it is complete at least as far, and a row never replaces a later state of itself, a removal included. The last change that is reported to others is learnt from peers where a reading cannot tell it. A reading soon after a dropped history may be older than its revision says; it does not count as complete and removes no row later than its own ones. Changes passed on name a bound before which nothing can be missing, so that a receiver with a gap notices it.

--- a/kwg-gate/src/replica/mod.rs
+++ b/kwg-gate/src/replica/mod.rs
@@ -10,5 +10,5 @@
 pub use store_feed::{Calling, FeedCall, Pausing, StoreFeed, Waiting};
 pub use store_row::StoreRow;
 pub use table_lag::TableLag;
-pub use table_mirror::TableMirror;
+pub use table_mirror::{ReadingState, TableMirror};
 pub use table_replica::{TableCopy, TableReplica};
--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -2,6 +2,8 @@
 
 use kwg_model::MonoTime;
 
+use super::ReadingState;
+
 /// How long the store may hold a long poll for changes. A dead connection is detected after
 /// this time and the limit of a call at the latest, or sooner if a peer reports a newer revision.
 const FEED_WAIT: Duration = Duration::from_secs(8);
@@ -112,6 +114,15 @@
         self.state.call
     }
 
+    /// Whether the answer may be older than its revision says.
+    #[must_use]
+    pub fn reading_state(&self) -> ReadingState {
+        match self.schedule.rechecks.is_empty() {
+            true => ReadingState::Complete,
+            false => ReadingState::MaybeStale,
+        }
+    }
+
     /// The store has answered. Returns whether that ends an outage.
     #[must_use]
     pub fn answered(mut self, _now: MonoTime) -> (StoreFeed<Waiting>, bool) {
--- /dev/null
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -0,0 +1,375 @@
+//! A store and instances that copy its table of targets, under virtual time.
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use kwg_gate::{
+    Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, TableCopy, TableReplica,
+    TargetEntry, TargetId, TargetRegistry, Waiting,
+};
+use kwg_model::MonoTime;
+
+/// Step of the virtual time.
+pub const TICK: Duration = Duration::from_millis(10);
+/// Interval of digests, and of the check for targets that are no longer held.
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Time limit for a reply of the store, beyond the requested wait of a long poll.
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time of a message between two instances, or between an instance and the store.
+const TRANSIT: Duration = Duration::from_millis(10);
+
+/// A number in [0, 1) for each call, the same in each run.
+#[derive(Debug)]
+pub struct SeededDraws(u64);
+
+impl SeededDraws {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    pub fn next(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    pub fn below(&mut self, bound: usize) -> usize {
+        (self.next() * bound as f64) as usize
+    }
+}
+
+/// The store: its rows, and the changes that its feed still has.
+#[derive(Debug, Default)]
+pub struct StoreModel {
+    pub revision: u64,
+    pub rows: BTreeMap<String, (u64, Vec<u8>)>,
+    changes: Vec<StoreRow>,
+    /// Revision up to which the feed's history is dropped.
+    dropped: u64,
+    /// Whether it answers no call.
+    pub is_silent: bool,
+    /// Rows as they were at an earlier moment, which readings return with the newest revision.
+    pub stale: Option<BTreeMap<String, (u64, Vec<u8>)>>,
+}
+
+impl StoreModel {
+    /// Writes or removes a row; returns the revision of the change.
+    pub fn write(&mut self, key: &str, value: Option<&[u8]>) -> u64 {
+        self.revision += 1;
+        match value {
+            Some(value) => self.rows.insert(key.to_owned(), (self.revision, value.to_vec())),
+            None => self.rows.remove(key),
+        };
+        let value = value.map(<[u8]>::to_vec);
+        self.changes.push(StoreRow { key: key.to_owned(), value, revision: self.revision });
+        self.revision
+    }
+
+    /// A change of another table.
+    pub fn write_elsewhere(&mut self) {
+        self.revision += 1;
+    }
+
+    /// Drops the history.
+    pub fn compact(&mut self) {
+        self.dropped = self.revision;
+    }
+
+    fn read(&self) -> Vec<StoreRow> {
+        let rows = self.stale.as_ref().unwrap_or(&self.rows).iter();
+        let row = |(key, (revision, value)): (&String, &(u64, Vec<u8>))| StoreRow {
+            key: key.clone(),
+            value: Some(value.clone()),
+            revision: *revision,
+        };
+        rows.map(row).collect()
+    }
+
+    fn changes_after(&self, after: u64) -> Vec<StoreRow> {
+        self.changes.iter().filter(|row| row.revision > after).cloned().collect()
+    }
+}
+
+#[derive(Debug)]
+enum FeedState {
+    Waiting(StoreFeed<Waiting>),
+    Calling(StoreFeed<Calling>, OpenCall),
+    Pausing(StoreFeed<Pausing>),
+}
+
+/// A call on its way.
+#[derive(Debug, Clone)]
+struct OpenCall {
+    sent: MonoTime,
+    after: u64,
+    /// Whether its connection delivers nothing.
+    is_dead: bool,
+}
+
+/// Messages between instances.
+#[derive(Debug, Clone)]
+enum PeerMessage {
+    Digest(u64),
+    Pull,
+    Copy(TableCopy),
+}
+
+/// An instance and what it has known.
+#[derive(Debug)]
+pub struct ReplicaNode {
+    pub replica: TableReplica,
+    pub registry: TargetRegistry,
+    feed: Option<FeedState>,
+    /// Whether the store cannot be reached from here.
+    pub is_cut: bool,
+    /// Number of copies pulled since the start.
+    pub pulls: u32,
+    /// Whether the last call of the store failed.
+    pub store_lost: bool,
+    /// Number of outages of the store that it has noticed.
+    pub outages: u32,
+    /// Highest revision known by key, and whether the row was removed at it.
+    seen: HashMap<String, (u64, bool)>,
+}
+
+impl ReplicaNode {
+    fn new() -> Self {
+        Self {
+            replica: TableReplica::default(),
+            registry: TargetRegistry::default(),
+            feed: Some(FeedState::Waiting(StoreFeed::new())),
+            is_cut: false,
+            pulls: 0,
+            store_lost: false,
+            outages: 0,
+            seen: HashMap::new(),
+        }
+    }
+
+    /// Whether requests may be sent to a target.
+    pub fn uses(&self, key: &str) -> bool {
+        self.registry.get(&TargetId::new(key)).is_some_and(|entry| !entry.is_draining)
+    }
+
+    fn use_rows(&mut self, rows: &[StoreRow], now: MonoTime) {
+        for row in rows {
+            let id = TargetId::new(&row.key);
+            let entry = row.value.as_deref().map(|value| entry(&row.key, value == b"draining"));
+            self.registry.apply(row.revision, &id, entry, now);
+        }
+    }
+
+    /// Checks that no row goes back to an earlier state.
+    fn check_rows(&mut self, at: MonoTime) {
+        let known: HashMap<String, u64> = self
+            .replica
+            .mirror()
+            .rows()
+            .map(|(key, revision, _)| (key.to_owned(), revision))
+            .collect();
+        for (key, (seen, was_removed)) in &mut self.seen {
+            match known.get(key) {
+                Some(revision) => {
+                    let is_later =
+                        if *was_removed { *revision > *seen } else { *revision >= *seen };
+                    assert!(is_later, "{at:?}: {key} goes back from {seen} to {revision}");
+                }
+                None if !*was_removed => (*seen, *was_removed) = (*seen, true),
+                None => {}
+            }
+        }
+        for (key, revision) in known {
+            self.seen.insert(key, (revision, false));
+        }
+    }
+}
+
+/// An entry of a target.
+pub fn entry(key: &str, is_draining: bool) -> TargetEntry {
+    TargetEntry {
+        id: TargetId::new(key),
+        service: ServiceName::new("llm"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "graz".to_owned(),
+        version: "v1".to_owned(),
+        slots: 8,
+        is_draining,
+        born: 1,
+    }
+}
+
+/// The instances, which exchange digests with each other.
+#[derive(Debug)]
+pub struct ReplicaFleet {
+    pub now: MonoTime,
+    pub store: StoreModel,
+    pub nodes: Vec<ReplicaNode>,
+    pub draws: SeededDraws,
+    /// Share of the messages between instances that are lost.
+    pub loss: f64,
+    messages: Vec<(MonoTime, usize, usize, PeerMessage)>,
+}
+
+impl ReplicaFleet {
+    pub fn new(size: usize, targets: &[&str], seed: u64) -> Self {
+        let mut store = StoreModel::default();
+        targets.iter().for_each(|target| _ = store.write(target, Some(b"ready")));
+        let now = MonoTime::from_millis(1);
+        let nodes = (0..size).map(|_| ReplicaNode::new()).collect();
+        let draws = SeededDraws::new(seed);
+        Self { now, store, nodes, draws, loss: 0.0, messages: Vec::new() }
+    }
+
+    /// Starts an instance again.
+    pub fn restart(&mut self, node: usize) {
+        let is_cut = self.nodes[node].is_cut;
+        self.nodes[node] = ReplicaNode { is_cut, ..ReplicaNode::new() };
+        self.messages.retain(|(_, _, to, _)| *to != node);
+    }
+
+    /// Lets the connection to the store go silent for good.
+    pub fn kill_connection(&mut self, node: usize) {
+        if let Some(FeedState::Calling(_, call)) = &mut self.nodes[node].feed {
+            call.is_dead = true;
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + TICK;
+        for node in 0..self.nodes.len() {
+            self.step_feed(node);
+        }
+        if self.now.as_millis() % DIGEST_INTERVAL.as_millis() as u64 <= 1 {
+            self.send_digests();
+        }
+        let now = self.now;
+        let (due, later) = self.messages.drain(..).partition(|(at, ..)| *at <= now);
+        self.messages = later;
+        let due: Vec<(MonoTime, usize, usize, PeerMessage)> = due;
+        due.into_iter().for_each(|(_, from, to, message)| self.deliver(from, to, message));
+        self.nodes.iter_mut().for_each(|node| node.check_rows(now));
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        if self.draws.next() >= self.loss {
+            self.messages.push((self.now + TRANSIT, from, to, message));
+        }
+    }
+
+    fn send_digests(&mut self) {
+        for from in 0..self.nodes.len() {
+            let now = self.now;
+            self.nodes[from].registry.expire(now);
+            let digest = PeerMessage::Digest(self.nodes[from].replica.mirror().content_revision());
+            for to in (0..self.nodes.len()).filter(|to| *to != from) {
+                self.send(from, to, digest.clone());
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        match message {
+            PeerMessage::Digest(reported) => {
+                if node.replica.should_pull(reported, now) {
+                    node.pulls += 1;
+                    self.break_off(to);
+                    self.send(to, from, PeerMessage::Pull);
+                }
+            }
+            PeerMessage::Pull => {
+                if let Some(copy) = node.replica.copy() {
+                    self.send(to, from, PeerMessage::Copy(copy));
+                }
+            }
+            PeerMessage::Copy(copy) => {
+                if let Some(rows) = node.replica.apply_copy(copy) {
+                    node.use_rows(&rows, now);
+                }
+            }
+        }
+    }
+
+    fn break_off(&mut self, node: usize) {
+        let (now, draw) = (self.now, self.draws.next());
+        let node = &mut self.nodes[node];
+        node.feed = match node.feed.take() {
+            Some(FeedState::Calling(calling, _))
+                if matches!(calling.call(), FeedCall::Follow { .. }) =>
+            {
+                node.store_lost = true;
+                Some(FeedState::Pausing(calling.failed(now, draw)))
+            }
+            other => other,
+        };
+    }
+
+    fn step_feed(&mut self, index: usize) {
+        let (now, draw) = (self.now, self.draws.next());
+        let (store, node) = (&self.store, &mut self.nodes[index]);
+        let is_reached = !store.is_silent && !node.is_cut;
+        let feed = node.feed.take().expect("a state");
+        node.feed = Some(match feed {
+            FeedState::Waiting(feed) => {
+                let after = node.replica.mirror().revision();
+                let call = OpenCall { sent: now, after, is_dead: !is_reached };
+                FeedState::Calling(feed.begin(now), call)
+            }
+            FeedState::Pausing(pausing) if now >= pausing.until() => {
+                FeedState::Waiting(pausing.resume())
+            }
+            FeedState::Pausing(pausing) => FeedState::Pausing(pausing),
+            FeedState::Calling(calling, call) => {
+                let age = now.since(call.sent);
+                let (wait, reply) = match calling.call() {
+                    FeedCall::Read => (Duration::ZERO, (age >= TRANSIT).then(|| store.read())),
+                    FeedCall::Follow { wait } => {
+                        let changes = store.changes_after(call.after);
+                        let is_due = age >= TRANSIT && (!changes.is_empty() || age >= wait);
+                        (wait, is_due.then_some(changes))
+                    }
+                };
+                let is_follow = matches!(calling.call(), FeedCall::Follow { .. });
+                match reply.filter(|_| is_reached && !call.is_dead) {
+                    Some(_) if is_follow && call.after < store.dropped => {
+                        FeedState::Pausing(calling.history_dropped(now, draw))
+                    }
+                    Some(rows) => {
+                        let rows = match is_follow {
+                            true => node.replica.apply_feed(rows, call.after, store.revision),
+                            false => {
+                                let state = calling.reading_state();
+                                let changed =
+                                    node.replica.apply_reading(rows, store.revision, state);
+                                changed.unwrap_or_default()
+                            }
+                        };
+                        node.use_rows(&rows, now);
+                        let (feed, ends_outage) = calling.answered(now);
+                        node.store_lost = false;
+                        if ends_outage {
+                            node.outages += 1;
+                            node.registry.record_store_return(now);
+                        }
+                        FeedState::Waiting(feed)
+                    }
+                    None if age >= wait + CALL_LIMIT => {
+                        node.store_lost = true;
+                        FeedState::Pausing(calling.failed(now, draw))
+                    }
+                    None => FeedState::Calling(calling, call),
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/kwg-gate/tests/table_replicas.rs
@@ -0,0 +1,40 @@
+//! Instances that copy the store's table of targets: a target that leaves is not used for longer than the
+//! limit for changes to take effect.
+
+#[path = "support/replica_fleet.rs"]
+mod replica_fleet;
+
+use std::time::Duration;
+
+use replica_fleet::ReplicaFleet;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn fleet(size: usize) -> ReplicaFleet {
+    let mut fleet = ReplicaFleet::new(size, &["t1", "t2", "t3"], 1);
+    fleet.run(SECOND);
+    fleet
+}
+
+#[test]
+fn an_instance_that_starts_after_a_removal_pulls_no_copies() {
+    let mut fleet = fleet(3);
+    fleet.store.write("t3", None);
+    fleet.run(SECOND);
+    fleet.restart(2);
+    fleet.run(10 * SECOND);
+    assert_eq!(fleet.nodes[2].pulls, 0);
+}
+
+#[test]
+fn the_copy_of_a_peer_that_lags_does_not_bring_a_removed_target_back() {
+    let mut fleet = fleet(2);
+    fleet.nodes[0].is_cut = true;
+    fleet.store.write("t3", None);
+    fleet.restart(1);
+    fleet.run(SECOND / 10);
+    for _ in 0..500 {
+        fleet.step();
+        assert!(!fleet.nodes[1].uses("t3"), "back at {:?}", fleet.now);
+    }
+}
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -6,8 +6,8 @@
 use kwg_adapter::{ConfigDecoder, EntryDecoder, OrderCodec};
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    MoveDecision, MoveReport, StoreRow, TableCopy, TableMirror, TableReplica, TargetEntry,
-    TargetId, TargetRegistry,
+    MoveDecision, MoveReport, ReadingState, StoreRow, TableCopy, TableMirror, TableReplica,
+    TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct TableChanges {
     pub(crate) table: SharedTable,
-    /// Revision of the last change before these.
+    /// A revision between which and these there was no change.
     pub(crate) base: u64,
     pub(crate) rows: Vec<StoreRow>,
 }
@@ -90,6 +90,11 @@
         self.mirror(table, TableMirror::content_revision)
     }
 
+    /// The revision up to which all changes of a table are known.
+    pub(crate) fn covered_revision(&self, table: SharedTable) -> u64 {
+        self.mirror(table, TableMirror::covered_revision)
+    }
+
     /// The revision of a row of a table, or 0 if it is not known.
     pub(crate) fn row_revision(&self, table: SharedTable, key: &str) -> u64 {
         self.mirror(table, |mirror| mirror.row_revision(key))
@@ -160,9 +165,16 @@
     }
 
     /// Applies changes from the store's feed and queues the new ones for forwarding to peers.
-    pub(crate) fn apply_feed(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
-        let base = self.content_revision(table);
-        let new_rows = self.with_replica(table, |replica| replica.apply_feed(rows, revision));
+    pub(crate) fn apply_feed(
+        &self,
+        table: SharedTable,
+        rows: Vec<StoreRow>,
+        after: u64,
+        revision: u64,
+    ) {
+        let base = self.mirror(table, TableMirror::change_bound);
+        let new_rows =
+            self.with_replica(table, |replica| replica.apply_feed(rows, after, revision));
         self.use_rows(table, &new_rows, "store");
         let changes = TableChanges { table, base, rows: new_rows };
         if !changes.rows.is_empty() && self.changes.try_send(changes).is_err() {
@@ -185,9 +197,16 @@
     }
 
     /// Applies a full reading of a table, unless it is outdated.
-    pub(crate) fn apply_reading(&self, table: SharedTable, rows: Vec<StoreRow>, revision: u64) {
+    pub(crate) fn apply_reading(
+        &self,
+        table: SharedTable,
+        rows: Vec<StoreRow>,
+        revision: u64,
+        state: ReadingState,
+    ) {
         let count = rows.len();
-        let changed = self.with_replica(table, |replica| replica.apply_reading(rows, revision));
+        let changed =
+            self.with_replica(table, |replica| replica.apply_reading(rows, revision, state));
         self.use_copy(table, changed, revision, count, "store");
     }
 
--- a/kwg-gateway/src/control/digest_handler.rs
+++ b/kwg-gateway/src/control/digest_handler.rs
@@ -279,10 +279,10 @@
         revision: u64,
         now: MonoTime,
     ) {
-        let known = self.state.content_revision(table);
         if !self.state.should_pull(table, revision, now) {
             return;
         }
+        let known = self.state.covered_revision(table);
         let line = EventLine::new("behind-peer").field("peer", peer);
         let line = line.field("table", table_name(table));
         log::info!("{}", line.field("known", known).field("peer_has", revision));
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable};
-use kwg_gate::{FeedCall, StoreFeed, StoreRow};
+use kwg_gate::{FeedCall, ReadingState, StoreFeed, StoreRow};
 use kwg_telemetry::EventLine;
 use kwg_wire::SharedTable;
 use rand::random;
@@ -50,7 +50,7 @@
             }
             let calling = feed.begin(self.state.clock.now());
             let round = match calling.call() {
-                FeedCall::Read => self.read().await,
+                FeedCall::Read => self.read(calling.reading_state()).await,
                 FeedCall::Follow { wait } => self.follow(wait).await,
             };
             let now = self.state.clock.now();
@@ -94,7 +94,7 @@
     }
 
     /// Reads the whole table, page by page, and applies it.
-    async fn read(&mut self) -> Result<(), FeedError> {
+    async fn read(&mut self, state: ReadingState) -> Result<(), FeedError> {
         let (mut rows, mut from) = (Vec::new(), String::new());
         loop {
             let request = StoreCodec::encode_read(store_table(self.table), &from);
@@ -104,7 +104,7 @@
             match last.filter(|_| reading.has_more) {
                 Some(next) => from = next,
                 None => {
-                    self.state.apply_reading(self.table, rows, reading.revision);
+                    self.state.apply_reading(self.table, rows, reading.revision, state);
                     return Ok(());
                 }
             }
@@ -129,7 +129,7 @@
             Err(FeedError::Call(io::Error::new(io::ErrorKind::TimedOut, reason)))
         };
         let reading = self.call(&request, wait + CALL_LIMIT).or(woken).await?;
-        self.state.apply_feed(self.table, reading.rows, reading.revision);
+        self.state.apply_feed(self.table, reading.rows, after, reading.revision);
         Ok(())
     }
 
--- a/kwg-gateway/tests/unit/move_handler.rs
+++ b/kwg-gateway/tests/unit/move_handler.rs
@@ -152,7 +152,8 @@
         let key = OrderCodec::status_key(&order.service);
         let text = format!(r#"{{"service":"{}","to":"v2","durationS":15}}"#, order.service);
         let value = Some(text.into_bytes());
-        replica.apply_feed(vec![StoreRow { key, value, revision: order.revision }], order.revision);
+        let row = StoreRow { key, value, revision: order.revision };
+        replica.apply_feed(vec![row], 0, order.revision);
     }
     state.replicas.replace(HashMap::from([(SharedTable::Orders, replica)]));
     (Rc::new(state), inputs, tasks)
