fix(kwg-gate): a long poll that the instance breaks off itself is no outage of the store

What callers saw: for up to 2 s and more after its entry was removed, requests were sent to a target that had left.

Cause: an instance that is behind a peer breaks off its own poll, to notice a dead connection. That was recorded as a failed call: the instance gave up its role as store reader, waited for up to 1.5 s, and took the next answer for the return of the store, which opens the grace period for entries that lapsed in an outage. An entry that was removed in it was kept. Class: a failure of our own making that counts as one of the store.

Before: a_poll_that_an_instance_breaks_off_itself_is_no_outage_of_the_store failed with 'lost at 1811 ms'. After: it passes.

Why it works: the break is an event of its own, after which the feed calls again at once. If peers have reported since the call was sent that the store fails, the break may hide an outage; then the next answer ends one, as before.

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -48,6 +48,7 @@
 #[derive(Debug)]
 pub struct Calling {
     call: FeedCall,
+    sent: MonoTime,
 }
 
 /// State: no call is made for a while, because the last one failed.
@@ -103,7 +104,7 @@
         let until_recheck = rechecks.iter().map(|at| at.since(now)).min();
         let wait = until_recheck.map_or(FEED_WAIT, |span| span.min(FEED_WAIT));
         let call = if *needs_reading { FeedCall::Read } else { FeedCall::Follow { wait } };
-        StoreFeed { schedule: self.schedule, state: Calling { call } }
+        StoreFeed { schedule: self.schedule, state: Calling { call, sent: now } }
     }
 }
 
@@ -123,6 +124,20 @@
         }
     }
 
+    /// When the call was sent.
+    #[must_use]
+    pub fn sent(&self) -> MonoTime {
+        self.state.sent
+    }
+
+    /// The instance has broken the call off, because a peer has changes that the store has not delivered
+    /// here. That is no failure of the store, unless peers have reported one since the call was sent.
+    #[must_use]
+    pub fn broken_off(mut self, is_outage_reported: bool) -> StoreFeed<Waiting> {
+        self.schedule.has_failed |= is_outage_reported;
+        StoreFeed { schedule: self.schedule, state: Waiting }
+    }
+
     /// The store has answered. Returns whether that ends an outage.
     #[must_use]
     pub fn answered(mut self, _now: MonoTime) -> (StoreFeed<Waiting>, bool) {
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -111,7 +111,7 @@
 /// Messages between instances.
 #[derive(Debug, Clone)]
 enum PeerMessage {
-    Digest(u64),
+    Digest { revision: u64, store_lost: bool },
     Pull,
     Copy(TableCopy),
 }
@@ -128,6 +128,8 @@
     pub pulls: u32,
     /// Whether the last call of the store failed.
     pub store_lost: bool,
+    /// When a peer last reported that the store did not answer it.
+    outage_reported: MonoTime,
     /// Number of outages of the store that it has noticed.
     pub outages: u32,
     /// Highest revision known by key, and whether the row was removed at it.
@@ -143,6 +145,7 @@
             is_cut: false,
             pulls: 0,
             store_lost: false,
+            outage_reported: MonoTime::ZERO,
             outages: 0,
             seen: HashMap::new(),
         }
@@ -269,7 +272,9 @@
         for from in 0..self.nodes.len() {
             let now = self.now;
             self.nodes[from].registry.expire(now);
-            let digest = PeerMessage::Digest(self.nodes[from].replica.mirror().content_revision());
+            let node = &self.nodes[from];
+            let revision = node.replica.mirror().content_revision();
+            let digest = PeerMessage::Digest { revision, store_lost: node.store_lost };
             for to in (0..self.nodes.len()).filter(|to| *to != from) {
                 self.send(from, to, digest.clone());
             }
@@ -280,8 +285,11 @@
         let now = self.now;
         let node = &mut self.nodes[to];
         match message {
-            PeerMessage::Digest(reported) => {
-                if node.replica.should_pull(reported, now) {
+            PeerMessage::Digest { revision, store_lost } => {
+                if store_lost {
+                    node.outage_reported = now;
+                }
+                if node.replica.should_pull(revision, now) {
                     node.pulls += 1;
                     self.break_off(to);
                     self.send(to, from, PeerMessage::Pull);
@@ -301,14 +309,13 @@
     }
 
     fn break_off(&mut self, node: usize) {
-        let (now, draw) = (self.now, self.draws.next());
         let node = &mut self.nodes[node];
         node.feed = match node.feed.take() {
             Some(FeedState::Calling(calling, _))
                 if matches!(calling.call(), FeedCall::Follow { .. }) =>
             {
-                node.store_lost = true;
-                Some(FeedState::Pausing(calling.failed(now, draw)))
+                let is_reported = node.outage_reported >= calling.sent();
+                Some(FeedState::Waiting(calling.broken_off(is_reported)))
             }
             other => other,
         };
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -38,3 +38,33 @@
         assert!(!fleet.nodes[1].uses("t3"), "back at {:?}", fleet.now);
     }
 }
+
+#[test]
+fn a_poll_that_an_instance_breaks_off_itself_is_no_outage_of_the_store() {
+    let mut fleet = fleet(3);
+    fleet.kill_connection(2);
+    fleet.store.write("t4", Some(b"ready"));
+    for _ in 0..300 {
+        fleet.step();
+        assert!(!fleet.nodes[2].store_lost, "lost at {:?}", fleet.now);
+    }
+    assert!(fleet.nodes[2].uses("t4"));
+    fleet.store.write("t3", None);
+    fleet.run(SECOND / 2);
+    assert_eq!(fleet.nodes[2].outages, 0);
+    assert!(!fleet.nodes[2].uses("t3"), "kept for an outage that was none");
+}
+
+#[test]
+fn a_poll_that_an_instance_breaks_off_after_an_outage_that_peers_noticed_ends_that_outage() {
+    let mut fleet = fleet(3);
+    fleet.run(2 * SECOND);
+    fleet.restart(0);
+    fleet.store.is_silent = true;
+    fleet.run(4 * SECOND);
+    fleet.store.is_silent = false;
+    fleet.kill_connection(2);
+    fleet.store.write("t3", None);
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.nodes[2].outages, 1);
+}
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -31,6 +31,8 @@
     pub(crate) registry: RefCell<TargetRegistry>,
     /// Whether the store answered the last call for each table.
     pub(crate) store_available: RefCell<HashMap<SharedTable, bool>>,
+    /// When a peer last reported that the store did not answer it.
+    outage_reported: Cell<Option<MonoTime>>,
     table_version: Cell<u64>,
     is_store_reader: Cell<bool>,
     is_relay: Cell<bool>,
@@ -72,6 +74,7 @@
             replicas: RefCell::default(),
             registry: RefCell::default(),
             store_available: RefCell::default(),
+            outage_reported: Cell::new(None),
             table_version: Cell::new(0),
             is_store_reader: Cell::new(false),
             is_relay: Cell::new(false),
@@ -148,6 +151,16 @@
         !available.is_empty() && available.values().all(|is_available| *is_available)
     }
 
+    /// Records that the store does not answer a peer.
+    pub(crate) fn record_reported_outage(&self) {
+        self.outage_reported.set(Some(self.clock.now()));
+    }
+
+    /// Whether a peer has reported since then that the store did not answer it.
+    pub(crate) fn is_outage_reported_since(&self, since: MonoTime) -> bool {
+        self.outage_reported.get().is_some_and(|at| at >= since)
+    }
+
     /// Records whether the store answered a call for a table, and logs a change. After an outage
     /// the registry keeps targets for a grace period, since their entries may have lapsed
     /// meanwhile.
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -27,8 +27,10 @@
 
 /// Why a read or a long poll failed.
 enum FeedError {
-    /// The call failed or timed out, or a peer's newer revision ended the long poll.
+    /// The call failed or timed out.
     Call(io::Error),
+    /// A peer's newer revision ended the long poll.
+    BrokenOff,
     /// The store's reply is an error or does not decode.
     Store(StoreError),
 }
@@ -61,6 +63,16 @@
                     feed = calling.answered(now).0;
                     continue;
                 }
+                Err(FeedError::BrokenOff) => {
+                    let is_outage = self.state.is_outage_reported_since(calling.sent());
+                    let line = EventLine::new("poll-broken-off")
+                        .field("table", table_name(self.table))
+                        .field("age_ms", now.since(calling.sent()).as_millis())
+                        .field("outage_reported", is_outage);
+                    log::info!("{line}");
+                    feed = calling.broken_off(is_outage);
+                    continue;
+                }
                 Err(FeedError::Store(StoreError::HistoryDropped)) => {
                     log::info!("event=history-gone table={}", table_name(self.table));
                     calling.history_dropped(now, random())
@@ -114,19 +126,14 @@
     /// Waits for changes after the known revision and applies them.
     async fn follow(&mut self, wait: Duration) -> Result<(), FeedError> {
         let after = self.state.revision(self.table);
-        let now = self.state.clock.now();
         let request = StoreCodec::encode_feed(store_table(self.table), after, wait);
         while self.wakeups.try_recv().is_ok() {}
-        let (wakeups, state, table) = (self.wakeups.clone(), Rc::clone(&self.state), self.table);
+        let wakeups = self.wakeups.clone();
         let woken = async {
             if wakeups.recv().await.is_err() {
                 std::future::pending::<()>().await;
             }
-            let line = EventLine::new("poll-broken-off").field("table", table_name(table));
-            let age = state.clock.now().since(now);
-            log::info!("{}", line.field("age_ms", age.as_millis()));
-            let reason = "a peer is ahead";
-            Err(FeedError::Call(io::Error::new(io::ErrorKind::TimedOut, reason)))
+            Err(FeedError::BrokenOff)
         };
         let reading = self.call(&request, wait + CALL_LIMIT).or(woken).await?;
         self.state.apply_feed(self.table, reading.rows, after, reading.revision);
