fix(kwg-gateway): the grace period after an outage begins before the first answer is applied

What callers saw: after an outage of the store in which entries lapsed, 503 for want of a target until the targets had written their entries again, for about two seconds, although they ran all the while.

Cause: the first answer after the outage was applied, with its removals, and only then was the store's return recorded, which opens the grace period. It covered what came later: targets that left in the two seconds after the return were kept. Class: the order of two steps that no type and no test fixed.

Evidence: targets_whose_entries_lapsed_in_an_outage_are_kept_when_the_first_answer_removes_them follows a scripted store. Before: left [], right [t1, t2]. After: it passes.

Why it works: a call yields its reply, StoreFeed says whether it ends an outage, and only then the rows are put in force.

--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -352,22 +352,22 @@
                         FeedState::Pausing(calling.history_dropped(now, draw))
                     }
                     Some(rows) => {
-                        let rows = match is_follow {
+                        let state = calling.reading_state();
+                        let (feed, ends_outage) = calling.answered(now);
+                        node.store_lost = false;
+                        if ends_outage {
+                            node.outages += 1;
+                            node.registry.record_store_return(now);
+                        }
+                        let changed = match is_follow {
                             true => node.replica.apply_feed(rows, call.after, store.revision),
                             false => {
-                                let state = calling.reading_state();
                                 let changed =
                                     node.replica.apply_reading(rows, store.revision, state);
                                 changed.unwrap_or_default()
                             }
                         };
-                        node.use_rows(&rows, now);
-                        let (feed, ends_outage) = calling.answered(now);
-                        node.store_lost = false;
-                        if ends_outage {
-                            node.outages += 1;
-                            node.registry.record_store_return(now);
-                        }
+                        node.use_rows(&changed, now);
                         FeedState::Waiting(feed)
                     }
                     None if age >= wait + CALL_LIMIT => {
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -161,9 +161,14 @@
         self.outage_reported.get().is_some_and(|at| at >= since)
     }
 
-    /// Records whether the store answered a call for a table, and logs a change. After an outage
-    /// the registry keeps targets for a grace period, since their entries may have lapsed
-    /// meanwhile.
+    /// Keeps targets whose entries are removed soon, since these may have lapsed in the outage of the
+    /// store that has just ended.
+    pub(crate) fn keep_lapsed_targets(&self) {
+        self.registry.borrow_mut().record_store_return(self.clock.now());
+        log::info!("event=grace-began");
+    }
+
+    /// Records whether the store answered a call for a table, and logs a change.
     pub(crate) fn record_store_status(&self, table: SharedTable, answers: bool, reason: &str) {
         let before = self.store_available.borrow_mut().insert(table, answers);
         if before == Some(answers) {
@@ -172,9 +177,6 @@
         let event = if answers { "store-regained" } else { "store-lost" };
         let line = EventLine::new(event).field("table", table_name(table));
         log::info!("{}", line.field("revision", self.revision(table)).field("reason", reason));
-        if answers && before == Some(false) && table == SharedTable::Targets {
-            self.registry.borrow_mut().record_store_return(self.clock.now());
-        }
     }
 
     /// Applies changes from the store's feed and queues the new ones for forwarding to peers.
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -25,6 +25,15 @@
     wakeups: Receiver<()>,
 }
 
+/// What the store replied.
+struct FeedReply {
+    /// The revision after which the rows are changes; none if they are the whole table.
+    after: Option<u64>,
+    rows: Vec<StoreRow>,
+    /// The revision up to which they are complete.
+    revision: u64,
+}
+
 /// Why a read or a long poll failed.
 enum FeedError {
     /// The call failed or timed out.
@@ -52,15 +61,22 @@
             }
             let calling = feed.begin(self.state.clock.now());
             let round = match calling.call() {
-                FeedCall::Read => self.read(calling.reading_state()).await,
+                FeedCall::Read => self.read().await,
                 FeedCall::Follow { wait } => self.follow(wait).await,
             };
             let now = self.state.clock.now();
             let pausing = match round {
-                Ok(()) => {
+                Ok(reply) => {
+                    let state = calling.reading_state();
+                    let (next, ends_outage) = calling.answered(now);
                     self.state.record_store_status(self.table, true, "answered");
                     self.state.metrics.record_store_call("answered");
-                    feed = calling.answered(now).0;
+                    // The reply may lack entries that lapsed in the outage.
+                    if ends_outage && self.table == SharedTable::Targets {
+                        self.state.keep_lapsed_targets();
+                    }
+                    self.apply(reply, state);
+                    feed = next;
                     continue;
                 }
                 Err(FeedError::BrokenOff) => {
@@ -105,8 +121,16 @@
         self.state.metrics.record_store_call("failed");
     }
 
-    /// Reads the whole table, page by page, and applies it.
-    async fn read(&mut self, state: ReadingState) -> Result<(), FeedError> {
+    fn apply(&self, reply: FeedReply, state: ReadingState) {
+        let FeedReply { after, rows, revision } = reply;
+        match after {
+            Some(after) => self.state.apply_feed(self.table, rows, after, revision),
+            None => self.state.apply_reading(self.table, rows, revision, state),
+        }
+    }
+
+    /// Reads the whole table, page by page.
+    async fn read(&mut self) -> Result<FeedReply, FeedError> {
         let (mut rows, mut from) = (Vec::new(), String::new());
         loop {
             let request = StoreCodec::encode_read(store_table(self.table), &from);
@@ -115,16 +139,13 @@
             rows.extend(reading.rows);
             match last.filter(|_| reading.has_more) {
                 Some(next) => from = next,
-                None => {
-                    self.state.apply_reading(self.table, rows, reading.revision, state);
-                    return Ok(());
-                }
+                None => return Ok(FeedReply { after: None, rows, revision: reading.revision }),
             }
         }
     }
 
-    /// Waits for changes after the known revision and applies them.
-    async fn follow(&mut self, wait: Duration) -> Result<(), FeedError> {
+    /// Waits for changes after the known revision.
+    async fn follow(&mut self, wait: Duration) -> Result<FeedReply, FeedError> {
         let after = self.state.revision(self.table);
         let request = StoreCodec::encode_feed(store_table(self.table), after, wait);
         while self.wakeups.try_recv().is_ok() {}
@@ -136,8 +157,7 @@
             Err(FeedError::BrokenOff)
         };
         let reading = self.call(&request, wait + CALL_LIMIT).or(woken).await?;
-        self.state.apply_feed(self.table, reading.rows, after, reading.revision);
-        Ok(())
+        Ok(FeedReply { after: Some(after), rows: reading.rows, revision: reading.revision })
     }
 
     async fn call(&mut self, request: &[u8], limit: Duration) -> Result<StoreReading, FeedError> {
@@ -152,3 +172,7 @@
         SharedTable::Targets => StoreTable::Targets,
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/table_feed.rs"]
+mod tests;
--- /dev/null
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -0,0 +1,122 @@
+//! What an instance knows of the targets after an outage of the store, with a store that follows a script.
+
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
+use async_channel::{bounded, unbounded};
+use async_io::{Timer, block_on};
+use futures_lite::FutureExt;
+use kwg_clock::{ClockHandle, ManualClock};
+use kwg_settings::GatewaySettings;
+use kwg_wire::SharedTable;
+
+use super::TableFeed;
+use crate::control::control_state::{ControlPipes, ControlState};
+use crate::gateway_metrics::GatewayMetrics;
+
+/// Real time after which the script counts as not played.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What the store does with one call.
+enum StoreAct {
+    /// Answers it.
+    Answer(String),
+    /// Closes the connection.
+    Close,
+}
+
+/// A row of a target that is ready, as the store sends it.
+fn ready_row(key: &str, revision: u64) -> String {
+    let value = r#"{\"service\":\"llm\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\"}"#;
+    format!(r#"{{"key":"{key}","value":"{value}","ver":{revision}}}"#)
+}
+
+fn removed_row(key: &str, revision: u64) -> String {
+    format!(r#"{{"key":"{key}","tombstone":true,"ver":{revision}}}"#)
+}
+
+fn rows(rows: &[String], revision: u64, has_more: bool) -> StoreAct {
+    let rows = rows.join(",");
+    StoreAct::Answer(format!(r#"{{"rows":[{rows}],"ver":{revision},"morePages":{has_more}}}"#))
+}
+
+/// A store that plays the script and then answers nothing. The receiver closes when it is played.
+fn store(script: Vec<StoreAct>) -> (SocketAddr, async_channel::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (playing, played) = bounded(1);
+    thread::spawn(move || {
+        let (mut script, mut playing) = (VecDeque::from(script), Some(playing));
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("accepted");
+            let mut request = [0; 4_096];
+            while let Ok(1..) = stream.read(&mut request) {
+                match script.pop_front() {
+                    Some(StoreAct::Answer(body)) => {
+                        let head =
+                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                        stream.write_all((head + &body).as_bytes()).expect("sent");
+                    }
+                    Some(StoreAct::Close) => break,
+                    None => drop(playing.take()),
+                }
+            }
+        }
+    });
+    (address, played)
+}
+
+/// Follows a store that plays the script, each wait of `step` at once.
+fn state_after(script: Vec<StoreAct>, step: Duration) -> Rc<ControlState> {
+    let (store, played) = store(script);
+    let text = format!(
+        "[gateway]\nname = a-1\ndomain = a\nfront = 127.0.0.1:1\nready = 127.0.0.1:2\n\
+         metrics = 127.0.0.1:3\npeer = 127.0.0.1:4\nstore = {store}\ngrace_s = 9\n[domains]\na = r\n"
+    );
+    let settings = GatewaySettings::parse("g.ini", &text).expect("valid");
+    let ((traffic, inputs), (changes, changed), (move_tasks, tasks)) =
+        (unbounded(), unbounded(), unbounded());
+    let pipes = ControlPipes { traffic, changes, move_tasks };
+    let clock = ManualClock::new();
+    let handle = ClockHandle::manual(&clock);
+    let state = Rc::new(ControlState::new(settings, 1, handle, GatewayMetrics::new(), pipes));
+    state.set_store_reader(true);
+    let (_waker, woken) = bounded(1);
+    let following = async {
+        TableFeed::new(&state, SharedTable::Targets, woken).run().await;
+        false
+    };
+    let playing = async {
+        while !played.is_closed() {
+            Timer::after(Duration::from_millis(20)).await;
+            // Less than the limit of a call, which the store answers at once.
+            clock.advance(step);
+        }
+        true
+    };
+    let patience = async {
+        Timer::after(PATIENCE).await;
+        false
+    };
+    assert!(block_on(following.or(playing).or(patience)), "the script is not played");
+    drop((inputs, changed, tasks));
+    state
+}
+
+fn targets(state: &ControlState) -> Vec<String> {
+    state.registry.borrow().entries().map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn targets_whose_entries_lapsed_in_an_outage_are_kept_when_the_first_answer_removes_them() {
+    let first = rows(&[ready_row("t1", 3), ready_row("t2", 4)], 4, false);
+    let mut script = vec![first];
+    script.extend((0..4).map(|_| StoreAct::Close));
+    script.push(rows(&[removed_row("t1", 5), removed_row("t2", 6)], 6, false));
+    let state = state_after(script, Duration::from_millis(700));
+    assert_eq!(targets(&state), ["t1", "t2"]);
+}
