fix(kwg-gate): a connection to the store that breaks once is no outage

Cause: each failed call counted as an outage in which entries may have lapsed, also one that was reset and repeated 150 ms later. The store drops an entry after three of its target's writes are missing, so none lapses in so short a time.

Before: a_connection_that_breaks_once_is_no_outage failed (assertion !ends_outage). After: it passes, and refusals_for_seconds_are_an_outage and a_long_poll_without_a_reply_may_hide_an_outage hold.

Why it works: an outage is counted from its first sign: from the failure if the connection broke, from the sending of the call if no reply came or if peers report that the store fails them; it has to last for a second.

--- a/kwg-gate/src/replica/mod.rs
+++ b/kwg-gate/src/replica/mod.rs
@@ -7,7 +7,7 @@
 mod table_mirror;
 mod table_replica;
 
-pub use store_feed::{Calling, FeedCall, Pausing, StoreFeed, Waiting};
+pub use store_feed::{CallFailure, Calling, FeedCall, Pausing, StoreFeed, Waiting};
 pub use store_row::StoreRow;
 pub use table_lag::TableLag;
 pub use table_mirror::{ReadingState, TableMirror};
--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -17,12 +17,16 @@
 /// time limit for changes to take effect.
 const MAX_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// Shortest time without an answer in which entries may lapse: targets write theirs about once a second, and
+/// the store drops them after three times that.
+const MIN_OUTAGE: Duration = Duration::from_secs(1);
+
 /// The calls with which an instance follows one of the store's tables; `S` is the state.
 ///
 /// ```
 /// use std::time::Duration;
 ///
-/// use kwg_gate::{FeedCall, StoreFeed};
+/// use kwg_gate::{CallFailure, FeedCall, StoreFeed};
 /// use kwg_model::MonoTime;
 ///
 /// let start = MonoTime::from_millis(1);
@@ -31,7 +35,7 @@
 /// let (feed, _) = calling.answered(start);
 /// let calling = feed.begin(start);
 /// assert!(matches!(calling.call(), FeedCall::Follow { .. }));
-/// let pausing = calling.failed(start, 0.5);
+/// let pausing = calling.failed(CallFailure::Broken, start, 0.5);
 /// assert_eq!(pausing.until(), start + Duration::from_millis(150));
 /// ```
 #[derive(Debug)]
@@ -69,6 +73,17 @@
     },
 }
 
+/// How a call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFailure {
+    /// The connection was refused or broke, or the reply cannot be used: the store may have answered until
+    /// then.
+    Broken,
+    /// No reply came in time, or peers have reported a failing store meanwhile: it may not have answered
+    /// since the call was sent.
+    Unanswered,
+}
+
 #[derive(Debug)]
 struct FeedSchedule {
     /// The pause after the next failed call.
@@ -77,8 +92,8 @@
     needs_reading: bool,
     /// When the table is to be read in full again.
     rechecks: Vec<MonoTime>,
-    /// Whether the store has failed since its last answer.
-    has_failed: bool,
+    /// Since when the store has not answered; none if it has answered the last call.
+    failing_since: Option<MonoTime>,
 }
 
 impl StoreFeed<Waiting> {
@@ -90,7 +105,7 @@
             pause: MIN_PAUSE,
             needs_reading: true,
             rechecks: Vec::new(),
-            has_failed: false,
+            failing_since: None,
         };
         Self { schedule, state: Waiting }
     }
@@ -134,16 +149,19 @@
     /// here. That is no failure of the store, unless peers have reported one since the call was sent.
     #[must_use]
     pub fn broken_off(mut self, is_outage_reported: bool) -> StoreFeed<Waiting> {
-        self.schedule.has_failed |= is_outage_reported;
+        if is_outage_reported {
+            self.schedule.failing_since.get_or_insert(self.state.sent);
+        }
         StoreFeed { schedule: self.schedule, state: Waiting }
     }
 
-    /// The store has answered. Returns whether that ends an outage.
+    /// The store has answered. Returns whether that ends an outage in which entries may have lapsed.
     #[must_use]
-    pub fn answered(mut self, _now: MonoTime) -> (StoreFeed<Waiting>, bool) {
+    pub fn answered(mut self, now: MonoTime) -> (StoreFeed<Waiting>, bool) {
         self.schedule.needs_reading = false;
         self.schedule.pause = MIN_PAUSE;
-        let ends_outage = std::mem::take(&mut self.schedule.has_failed);
+        let failing_since = self.schedule.failing_since.take();
+        let ends_outage = failing_since.is_some_and(|since| now.since(since) >= MIN_OUTAGE);
         (StoreFeed { schedule: self.schedule, state: Waiting }, ends_outage)
     }
 
@@ -158,8 +176,12 @@
     /// The call failed, or its answer cannot be used. `draw` is a uniform random number in [0, 1), which
     /// spreads the calls of all instances.
     #[must_use]
-    pub fn failed(mut self, now: MonoTime, draw: f64) -> StoreFeed<Pausing> {
-        self.schedule.has_failed = true;
+    pub fn failed(mut self, failure: CallFailure, now: MonoTime, draw: f64) -> StoreFeed<Pausing> {
+        let began = match failure {
+            CallFailure::Broken => now,
+            CallFailure::Unanswered => self.state.sent,
+        };
+        self.schedule.failing_since.get_or_insert(began);
         self.pause(now, draw)
     }
 
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, TableCopy, TableReplica,
-    TargetEntry, TargetId, TargetRegistry, Waiting,
+    CallFailure, Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, TableCopy,
+    TableReplica, TargetEntry, TargetId, TargetRegistry, Waiting,
 };
 use kwg_model::MonoTime;
 
@@ -372,7 +372,7 @@
                     }
                     None if age >= wait + CALL_LIMIT => {
                         node.store_lost = true;
-                        FeedState::Pausing(calling.failed(now, draw))
+                        FeedState::Pausing(calling.failed(CallFailure::Unanswered, now, draw))
                     }
                     None => FeedState::Calling(calling, call),
                 }
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable};
-use kwg_gate::{FeedCall, ReadingState, StoreFeed, StoreRow};
+use kwg_gate::{CallFailure, FeedCall, ReadingState, StoreFeed, StoreRow};
 use kwg_telemetry::EventLine;
 use kwg_wire::SharedTable;
 use rand::random;
@@ -95,11 +95,17 @@
                 }
                 Err(FeedError::Store(error)) => {
                     self.record_failure(&error.to_string());
-                    calling.failed(now, random())
+                    calling.failed(CallFailure::Broken, now, random())
                 }
                 Err(FeedError::Call(error)) => {
                     self.record_failure(&error.to_string());
-                    calling.failed(now, random())
+                    let is_silent = error.kind() == io::ErrorKind::TimedOut
+                        || self.state.is_outage_reported_since(calling.sent());
+                    let failure = match is_silent {
+                        true => CallFailure::Unanswered,
+                        false => CallFailure::Broken,
+                    };
+                    calling.failed(failure, now, random())
                 }
             };
             self.state.clock.sleep_until(pausing.until()).await;
