fix(kwg-gateway): a table that is read in pages is complete up to the revision of its first page

What callers would see: requests to a target that had left, until its entry changed again.

Cause: the revision of the last page was taken for the whole reading, and the feed went on after it. A row of an earlier page that was removed in between stayed.

Before: a_target_that_is_removed_between_two_pages_of_a_reading_is_not_used failed with left [t1, t2], right [t2]. After: it passes.

--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -138,14 +138,17 @@
     /// Reads the whole table, page by page.
     async fn read(&mut self) -> Result<FeedReply, FeedError> {
         let (mut rows, mut from) = (Vec::new(), String::new());
+        // Rows of earlier pages may change while later ones are read.
+        let mut revision = u64::MAX;
         loop {
             let request = StoreCodec::encode_read(store_table(self.table), &from);
             let reading = self.call(&request, CALL_LIMIT).await?;
             let last = reading.rows.last().map(StoreRow::successor);
             rows.extend(reading.rows);
+            revision = revision.min(reading.revision);
             match last.filter(|_| reading.has_more) {
                 Some(next) => from = next,
-                None => return Ok(FeedReply { after: None, rows, revision: reading.revision }),
+                None => return Ok(FeedReply { after: None, rows, revision }),
             }
         }
     }
--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -21,10 +21,19 @@
 /// Real time after which the script counts as not played.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// The revision after which a call asks for changes; none if it reads the table.
+fn feed_start(request: &str) -> Option<u64> {
+    let (_, rest) = request.split_once("after=")?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
 /// What the store does with one call.
 enum StoreAct {
     /// Answers it.
     Answer(String),
+    /// Answers a call for changes with those rows that are later than the revision it names.
+    Changes(Vec<(u64, String)>),
     /// Closes the connection.
     Close,
 }
@@ -55,13 +64,23 @@
             let mut stream = stream.expect("accepted");
             let mut request = [0; 4_096];
             while let Ok(1..) = stream.read(&mut request) {
-                match script.pop_front() {
+                let text = String::from_utf8_lossy(&request);
+                let act = match (script.pop_front(), feed_start(&text)) {
+                    (Some(StoreAct::Changes(changes)), Some(after)) => {
+                        let last = changes.iter().map(|(revision, _)| *revision).max();
+                        let later = changes.into_iter().filter(|(revision, _)| *revision > after);
+                        let later: Vec<String> = later.map(|(_, row)| row).collect();
+                        Some(rows(&later, last.unwrap_or(after), false))
+                    }
+                    (act, _) => act,
+                };
+                match act {
                     Some(StoreAct::Answer(body)) => {
                         let head =
                             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                         stream.write_all((head + &body).as_bytes()).expect("sent");
                     }
-                    Some(StoreAct::Close) => break,
+                    Some(StoreAct::Close | StoreAct::Changes(_)) => break,
                     None => drop(playing.take()),
                 }
             }
@@ -120,3 +139,16 @@
     let state = state_after(script, Duration::from_millis(700));
     assert_eq!(targets(&state), ["t1", "t2"]);
 }
+
+#[test]
+fn a_target_that_is_removed_between_two_pages_of_a_reading_is_not_used() {
+    let script = vec![
+        rows(&[ready_row("t1", 3)], 10, true),
+        // t1 is removed at 11.
+        rows(&[ready_row("t2", 4)], 12, false),
+        StoreAct::Changes(vec![(11, removed_row("t1", 11)), (12, ready_row("t2", 12))]),
+    ];
+    let state = state_after(script, Duration::from_millis(20));
+    assert_eq!(targets(&state), ["t2"]);
+    assert_eq!(state.covered_revision(SharedTable::Targets), 12);
+}
