fix(kwg-gateway): a dead connection to the store is noticed within two seconds

What callers could see: requests to a target that left while the instance's long poll stood on a connection that delivers nothing any more: up to 9.5 s, unless a peer knew.

Cause: only the time limit of the poll ended it. The kernel now probes the connection while it is idle, which costs no call of the store.

No test shows the probes themselves: a connection that goes silent needs a network that drops packets.

--- a/kwg-gateway/src/control/store_link.rs
+++ b/kwg-gateway/src/control/store_link.rs
@@ -34,7 +34,12 @@
         let idle = self.socket.take().filter(ByteSocket::is_quiet);
         let mut socket = match idle {
             Some(socket) => socket,
-            None => ByteSocket::connect(self.address, CONNECT_LIMIT).await?,
+            None => {
+                let socket = ByteSocket::connect(self.address, CONNECT_LIMIT).await?;
+                // A long poll awaits a reply for seconds.
+                socket.probe_when_idle();
+                socket
+            }
         };
         let clock = self.clock.clone();
         let timeout = async {
--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -20,6 +20,12 @@
 /// Length of a message, in bytes, that fits into the receive window of a peer that does not read.
 const WINDOW_BYTES: usize = 32 << 10;
 
+/// TCP user timeout of connections that are probed while they are idle.
+const PROBED_LIMIT: Duration = Duration::from_millis(1_500);
+/// Idle time before the first probe, and between probes: the shortest that the kernel takes. With the user
+/// timeout above, a dead connection is closed at the second probe, after two seconds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A TCP connection with a buffer of bytes that have been read and not consumed.
 #[derive(Debug)]
 pub(crate) struct ByteSocket {
@@ -66,6 +72,19 @@
         socket
     }
 
+    /// Lets the kernel probe the connection while it is idle, so that a read from one that has died ends
+    /// after two seconds.
+    pub(crate) fn probe_when_idle(&self) {
+        self.set_user_timeout(PROBED_LIMIT);
+        let socket = self.stream.get_ref();
+        let set = rustix::net::sockopt::set_socket_keepalive(socket, true)
+            .and_then(|()| rustix::net::sockopt::set_tcp_keepidle(socket, PROBE_INTERVAL))
+            .and_then(|()| rustix::net::sockopt::set_tcp_keepintvl(socket, PROBE_INTERVAL));
+        if let Err(error) = set {
+            log::debug!("event=socket-option option=keepalive error={error}");
+        }
+    }
+
     /// Sets how long the bytes of a message of `length` bytes may stay unacknowledged. A peer that reads
     /// the rest of a long one later has a full receive window until then.
     pub(crate) fn set_message_length(&self, length: usize) {
