fix(kwg-gate): a removal that only a full reading shows is reported to peers

What callers could see: after a dropped history, instances that do not reach the store or do not read it kept using a target whose entry was removed meanwhile, until the table changed again.

Cause: peers compare the last change that they report. A removal that is found by comparing a full reading with the rows known before was no change in that sense, and is not passed on by the feed either.

Before: a_removal_that_only_a_full_reading_shows_reaches_an_instance_that_is_cut_off failed at !uses(t3) of the third instance. After: it passes.

--- a/kwg-gate/src/replica/table_mirror.rs
+++ b/kwg-gate/src/replica/table_mirror.rs
@@ -145,6 +145,8 @@
         let mut changed: Vec<StoreRow> = removed.collect();
         changed.extend(rows.into_iter().filter(|row| self.is_new(row)));
         for row in &changed {
+            // A row that is missing was removed by then; others may not know it.
+            self.newest = self.newest.max(row.revision);
             self.put(row.clone());
         }
         if state == ReadingState::Complete {
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -68,3 +68,17 @@
     fleet.run(2 * SECOND);
     assert_eq!(fleet.nodes[2].outages, 1);
 }
+
+#[test]
+fn a_removal_that_only_a_full_reading_shows_reaches_an_instance_that_is_cut_off() {
+    let mut fleet = fleet(3);
+    fleet.nodes[2].is_cut = true;
+    fleet.kill_connection(2);
+    fleet.run(3 * SECOND);
+    fleet.store.write("t3", None);
+    fleet.store.compact();
+    // The readings count as complete after 5 s.
+    fleet.run(7 * SECOND);
+    assert!(!fleet.nodes[0].uses("t3") && !fleet.nodes[1].uses("t3"));
+    assert!(!fleet.nodes[2].uses("t3"));
+}
