fix(kwg-gate): the grace period follows an outage of the store, not one of this instance's path to it

Cause: two of them, found by random schedules under virtual time (replica_schedules.rs).

Before: two_instances_know_within_the_limit_that_a_target_leaves and nine_instances_... failed with 'uses t11 2.01s after it left' and 'uses t7 2.51s after it left'.

Why it works: the first call after a failure asks to be answered at once. StoreWitness keeps what peers report: a change that they learnt meanwhile shows that the store has served them, unless most of them reported a failure up to two seconds before it.

--- a/kwg-gate/src/replica/mod.rs
+++ b/kwg-gate/src/replica/mod.rs
@@ -3,12 +3,14 @@
 
 mod store_feed;
 mod store_row;
+mod store_witness;
 mod table_lag;
 mod table_mirror;
 mod table_replica;
 
 pub use store_feed::{CallFailure, Calling, FeedCall, Pausing, StoreFeed, Waiting};
 pub use store_row::StoreRow;
+pub use store_witness::StoreWitness;
 pub use table_lag::TableLag;
 pub use table_mirror::{ReadingState, TableMirror};
 pub use table_replica::{TableCopy, TableReplica};
--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -2,7 +2,7 @@
 
 use kwg_model::MonoTime;
 
-use super::ReadingState;
+use super::{ReadingState, StoreWitness};
 
 /// How long the store may hold a long poll for changes. A dead connection is detected after
 /// this time and the limit of a call at the latest, or sooner if a peer reports a newer revision.
@@ -26,16 +26,16 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use kwg_gate::{CallFailure, FeedCall, StoreFeed};
+/// use kwg_gate::{CallFailure, FeedCall, StoreFeed, StoreWitness};
 /// use kwg_model::MonoTime;
 ///
-/// let start = MonoTime::from_millis(1);
+/// let (witness, start) = (StoreWitness::default(), MonoTime::from_millis(1));
 /// let calling = StoreFeed::new().begin(start);
 /// assert_eq!(calling.call(), FeedCall::Read);
-/// let (feed, _) = calling.answered(start);
+/// let (feed, _) = calling.answered(&witness, start);
 /// let calling = feed.begin(start);
 /// assert!(matches!(calling.call(), FeedCall::Follow { .. }));
-/// let pausing = calling.failed(CallFailure::Broken, start, 0.5);
+/// let pausing = calling.failed(CallFailure::Broken, &witness, start, 0.5);
 /// assert_eq!(pausing.until(), start + Duration::from_millis(150));
 /// ```
 #[derive(Debug)]
@@ -79,8 +79,7 @@
     /// The connection was refused or broke, or the reply cannot be used: the store may have answered until
     /// then.
     Broken,
-    /// No reply came in time, or peers have reported a failing store meanwhile: it may not have answered
-    /// since the call was sent.
+    /// No reply came in time: the store may not have answered since the call was sent.
     Unanswered,
 }
 
@@ -113,11 +112,15 @@
     /// Chooses the next call.
     #[must_use]
     pub fn begin(mut self, now: MonoTime) -> StoreFeed<Calling> {
-        let FeedSchedule { needs_reading, rechecks, .. } = &mut self.schedule;
+        let FeedSchedule { needs_reading, rechecks, failing_since, .. } = &mut self.schedule;
         *needs_reading |= rechecks.iter().any(|at| *at <= now);
         rechecks.retain(|at| *at > now);
         let until_recheck = rechecks.iter().map(|at| at.since(now)).min();
-        let wait = until_recheck.map_or(FEED_WAIT, |span| span.min(FEED_WAIT));
+        let wait = match failing_since {
+            // The store is back once it answers, not once something changes.
+            Some(_) => Duration::ZERO,
+            None => until_recheck.map_or(FEED_WAIT, |span| span.min(FEED_WAIT)),
+        };
         let call = if *needs_reading { FeedCall::Read } else { FeedCall::Follow { wait } };
         StoreFeed { schedule: self.schedule, state: Calling { call, sent: now } }
     }
@@ -148,20 +151,23 @@
     /// The instance has broken the call off, because a peer has changes that the store has not delivered
     /// here. That is no failure of the store, unless peers have reported one since the call was sent.
     #[must_use]
-    pub fn broken_off(mut self, is_outage_reported: bool) -> StoreFeed<Waiting> {
-        if is_outage_reported {
+    pub fn broken_off(mut self, witness: &StoreWitness) -> StoreFeed<Waiting> {
+        if witness.reports_failure_since(self.state.sent) {
             self.schedule.failing_since.get_or_insert(self.state.sent);
         }
         StoreFeed { schedule: self.schedule, state: Waiting }
     }
 
-    /// The store has answered. Returns whether that ends an outage in which entries may have lapsed.
+    /// The store has answered. Returns whether that ends an outage in which entries may have lapsed: not if
+    /// peers show that only this instance did not reach the store.
     #[must_use]
-    pub fn answered(mut self, now: MonoTime) -> (StoreFeed<Waiting>, bool) {
+    pub fn answered(mut self, witness: &StoreWitness, now: MonoTime) -> (StoreFeed<Waiting>, bool) {
         self.schedule.needs_reading = false;
         self.schedule.pause = MIN_PAUSE;
         let failing_since = self.schedule.failing_since.take();
-        let ends_outage = failing_since.is_some_and(|since| now.since(since) >= MIN_OUTAGE);
+        let ends_outage = failing_since.is_some_and(|since| {
+            now.since(since) >= MIN_OUTAGE && !witness.shows_service_since(since)
+        });
         (StoreFeed { schedule: self.schedule, state: Waiting }, ends_outage)
     }
 
@@ -176,11 +182,16 @@
     /// The call failed, or its answer cannot be used. `draw` is a uniform random number in [0, 1), which
     /// spreads the calls of all instances.
     #[must_use]
-    pub fn failed(mut self, failure: CallFailure, now: MonoTime, draw: f64) -> StoreFeed<Pausing> {
-        let began = match failure {
-            CallFailure::Broken => now,
-            CallFailure::Unanswered => self.state.sent,
-        };
+    pub fn failed(
+        mut self,
+        failure: CallFailure,
+        witness: &StoreWitness,
+        now: MonoTime,
+        draw: f64,
+    ) -> StoreFeed<Pausing> {
+        let is_silent =
+            failure == CallFailure::Unanswered || witness.reports_failure_since(self.state.sent);
+        let began = if is_silent { self.state.sent } else { now };
         self.schedule.failing_since.get_or_insert(began);
         self.pause(now, draw)
     }
--- a/kwg-gate/tests/store_feed.rs
+++ b/kwg-gate/tests/store_feed.rs
@@ -2,16 +2,21 @@
 
 use std::time::Duration;
 
-use kwg_gate::{CallFailure, Calling, FeedCall, StoreFeed, Waiting};
+use kwg_gate::{CallFailure, Calling, FeedCall, StoreFeed, StoreWitness, Waiting};
 use kwg_model::MonoTime;
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
 
+/// Peers that report nothing.
+fn quiet() -> StoreWitness {
+    StoreWitness::default()
+}
+
 /// A feed that has read the table and waits for changes since 1 s.
 fn following() -> StoreFeed<Calling> {
-    let (feed, _) = StoreFeed::new().begin(at(990)).answered(at(1_000));
+    let (feed, _) = StoreFeed::new().begin(at(990)).answered(&quiet(), at(1_000));
     feed.begin(at(1_000))
 }
 
@@ -20,7 +25,7 @@
     let mut calling = calling;
     loop {
         let now = calling.sent() + Duration::from_millis(20);
-        let pausing = calling.failed(CallFailure::Broken, now, 0.5);
+        let pausing = calling.failed(CallFailure::Broken, &quiet(), now, 0.5);
         let next = pausing.until();
         let feed = pausing.resume();
         if next >= end {
@@ -32,17 +37,17 @@
 
 #[test]
 fn a_connection_that_breaks_once_is_no_outage() {
-    let pausing = following().failed(CallFailure::Broken, at(6_000), 0.5);
-    let (_, ends_outage) = pausing.resume().begin(at(6_150)).answered(at(6_160));
+    let pausing = following().failed(CallFailure::Broken, &quiet(), at(6_000), 0.5);
+    let (_, ends_outage) = pausing.resume().begin(at(6_150)).answered(&quiet(), at(6_160));
     assert!(!ends_outage);
 }
 
 #[test]
 fn refusals_for_seconds_are_an_outage() {
     let feed = refused_until(following(), at(5_000));
-    let (feed, ends_outage) = feed.begin(at(5_000)).answered(at(5_010));
+    let (feed, ends_outage) = feed.begin(at(5_000)).answered(&quiet(), at(5_010));
     assert!(ends_outage);
-    let (_, ends_outage) = feed.begin(at(5_010)).answered(at(9_000));
+    let (_, ends_outage) = feed.begin(at(5_010)).answered(&quiet(), at(9_000));
     assert!(!ends_outage, "it has ended before");
 }
 
@@ -50,7 +55,37 @@
 fn a_long_poll_without_a_reply_may_hide_an_outage() {
     let calling = following();
     assert!(matches!(calling.call(), FeedCall::Follow { .. }));
-    let pausing = calling.failed(CallFailure::Unanswered, at(10_500), 0.5);
-    let (_, ends_outage) = pausing.resume().begin(at(10_650)).answered(at(10_660));
+    let pausing = calling.failed(CallFailure::Unanswered, &quiet(), at(10_500), 0.5);
+    let (_, ends_outage) = pausing.resume().begin(at(10_650)).answered(&quiet(), at(10_660));
     assert!(ends_outage);
 }
+
+#[test]
+fn a_cut_of_this_instance_alone_is_no_outage() {
+    let mut witness = quiet();
+    witness.record("a", true, 5, at(500));
+    let feed = refused_until(following(), at(5_000));
+    witness.record("a", true, 6, at(4_000));
+    let (_, ends_outage) = feed.begin(at(5_000)).answered(&witness, at(5_010));
+    assert!(!ends_outage, "the store has served a peer meanwhile");
+}
+
+#[test]
+fn an_outage_that_most_peers_noticed_too_is_one() {
+    let mut witness = quiet();
+    let feed = refused_until(following(), at(5_000));
+    witness.record("a", false, 5, at(4_000));
+    witness.record("b", false, 5, at(4_000));
+    witness.record("a", true, 6, at(4_900));
+    let (_, ends_outage) = feed.begin(at(5_000)).answered(&witness, at(5_010));
+    assert!(ends_outage, "the change may be an entry that lapsed");
+}
+
+#[test]
+fn the_call_after_a_failed_one_is_answered_at_once() {
+    let pausing = following().failed(CallFailure::Broken, &quiet(), at(6_000), 0.5);
+    let calling = pausing.resume().begin(at(6_150));
+    assert_eq!(calling.call(), FeedCall::Follow { wait: Duration::ZERO });
+    let (feed, _) = calling.answered(&quiet(), at(6_160));
+    assert_ne!(feed.begin(at(6_160)).call(), FeedCall::Follow { wait: Duration::ZERO });
+}
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallFailure, Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, TableCopy,
-    TableReplica, TargetEntry, TargetId, TargetRegistry, Waiting,
+    CallFailure, Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, StoreWitness,
+    TableCopy, TableReplica, TargetEntry, TargetId, TargetRegistry, Waiting,
 };
 use kwg_model::MonoTime;
 
@@ -16,6 +16,8 @@
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 /// Time limit for a reply of the store, beyond the requested wait of a long poll.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time after which the kernel closes a connection whose probes are not answered.
+const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time of a message between two instances, or between an instance and the store.
 const TRANSIT: Duration = Duration::from_millis(10);
 
@@ -104,8 +106,8 @@
 struct OpenCall {
     sent: MonoTime,
     after: u64,
-    /// Whether its connection delivers nothing.
-    is_dead: bool,
+    /// Since when its connection delivers nothing.
+    dead_since: Option<MonoTime>,
 }
 
 /// Messages between instances.
@@ -128,8 +130,7 @@
     pub pulls: u32,
     /// Whether the last call of the store failed.
     pub store_lost: bool,
-    /// When a peer last reported that the store did not answer it.
-    outage_reported: MonoTime,
+    witness: StoreWitness,
     /// Number of outages of the store that it has noticed.
     pub outages: u32,
     /// Highest revision known by key, and whether the row was removed at it.
@@ -145,7 +146,7 @@
             is_cut: false,
             pulls: 0,
             store_lost: false,
-            outage_reported: MonoTime::ZERO,
+            witness: StoreWitness::default(),
             outages: 0,
             seen: HashMap::new(),
         }
@@ -213,6 +214,8 @@
     /// Share of the messages between instances that are lost.
     pub loss: f64,
     messages: Vec<(MonoTime, usize, usize, PeerMessage)>,
+    /// When the store last answered that it no longer has the changes that an instance asked for.
+    pub history_missed: MonoTime,
 }
 
 impl ReplicaFleet {
@@ -222,7 +225,15 @@
         let now = MonoTime::from_millis(1);
         let nodes = (0..size).map(|_| ReplicaNode::new()).collect();
         let draws = SeededDraws::new(seed);
-        Self { now, store, nodes, draws, loss: 0.0, messages: Vec::new() }
+        Self {
+            now,
+            store,
+            nodes,
+            draws,
+            loss: 0.0,
+            messages: Vec::new(),
+            history_missed: MonoTime::ZERO,
+        }
     }
 
     /// Starts an instance again.
@@ -235,7 +246,7 @@
     /// Lets the connection to the store go silent for good.
     pub fn kill_connection(&mut self, node: usize) {
         if let Some(FeedState::Calling(_, call)) = &mut self.nodes[node].feed {
-            call.is_dead = true;
+            call.dead_since.get_or_insert(self.now);
         }
     }
 
@@ -274,7 +285,8 @@
             self.nodes[from].registry.expire(now);
             let node = &self.nodes[from];
             let revision = node.replica.mirror().content_revision();
-            let digest = PeerMessage::Digest { revision, store_lost: node.store_lost };
+            let store_lost = node.store_lost;
+            let digest = PeerMessage::Digest { revision, store_lost };
             for to in (0..self.nodes.len()).filter(|to| *to != from) {
                 self.send(from, to, digest.clone());
             }
@@ -286,9 +298,8 @@
         let node = &mut self.nodes[to];
         match message {
             PeerMessage::Digest { revision, store_lost } => {
-                if store_lost {
-                    node.outage_reported = now;
-                }
+                let peer = from.to_string();
+                node.witness.record(&peer, !store_lost, revision, now);
                 if node.replica.should_pull(revision, now) {
                     node.pulls += 1;
                     self.break_off(to);
@@ -314,8 +325,7 @@
             Some(FeedState::Calling(calling, _))
                 if matches!(calling.call(), FeedCall::Follow { .. }) =>
             {
-                let is_reported = node.outage_reported >= calling.sent();
-                Some(FeedState::Waiting(calling.broken_off(is_reported)))
+                Some(FeedState::Waiting(calling.broken_off(&node.witness)))
             }
             other => other,
         };
@@ -329,7 +339,8 @@
         node.feed = Some(match feed {
             FeedState::Waiting(feed) => {
                 let after = node.replica.mirror().revision();
-                let call = OpenCall { sent: now, after, is_dead: !is_reached };
+                let dead_since = (!is_reached).then_some(now);
+                let call = OpenCall { sent: now, after, dead_since };
                 FeedState::Calling(feed.begin(now), call)
             }
             FeedState::Pausing(pausing) if now >= pausing.until() => {
@@ -347,13 +358,14 @@
                     }
                 };
                 let is_follow = matches!(calling.call(), FeedCall::Follow { .. });
-                match reply.filter(|_| is_reached && !call.is_dead) {
+                match reply.filter(|_| is_reached && call.dead_since.is_none()) {
                     Some(_) if is_follow && call.after < store.dropped => {
+                        self.history_missed = now;
                         FeedState::Pausing(calling.history_dropped(now, draw))
                     }
                     Some(rows) => {
                         let state = calling.reading_state();
-                        let (feed, ends_outage) = calling.answered(now);
+                        let (feed, ends_outage) = calling.answered(&node.witness, now);
                         node.store_lost = false;
                         if ends_outage {
                             node.outages += 1;
@@ -370,9 +382,23 @@
                         node.use_rows(&changed, now);
                         FeedState::Waiting(feed)
                     }
+                    None if call.dead_since.is_some_and(|at| now.since(at) >= PROBED_LIMIT) => {
+                        node.store_lost = true;
+                        FeedState::Pausing(calling.failed(
+                            CallFailure::Broken,
+                            &node.witness,
+                            now,
+                            draw,
+                        ))
+                    }
                     None if age >= wait + CALL_LIMIT => {
                         node.store_lost = true;
-                        FeedState::Pausing(calling.failed(CallFailure::Unanswered, now, draw))
+                        FeedState::Pausing(calling.failed(
+                            CallFailure::Unanswered,
+                            &node.witness,
+                            now,
+                            draw,
+                        ))
                     }
                     None => FeedState::Calling(calling, call),
                 }
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -59,8 +59,9 @@
 fn a_poll_that_an_instance_breaks_off_after_an_outage_that_peers_noticed_ends_that_outage() {
     let mut fleet = fleet(3);
     fleet.run(2 * SECOND);
-    fleet.restart(0);
     fleet.store.is_silent = true;
+    fleet.kill_connection(0);
+    fleet.kill_connection(1);
     fleet.run(4 * SECOND);
     fleet.store.is_silent = false;
     fleet.kill_connection(2);
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -6,8 +6,8 @@
 use kwg_adapter::{ConfigDecoder, EntryDecoder, OrderCodec};
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    MoveDecision, MoveReport, ReadingState, StoreRow, TableCopy, TableMirror, TableReplica,
-    TargetEntry, TargetId, TargetRegistry,
+    MoveDecision, MoveReport, ReadingState, StoreRow, StoreWitness, TableCopy, TableMirror,
+    TableReplica, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
@@ -31,8 +31,8 @@
     pub(crate) registry: RefCell<TargetRegistry>,
     /// Whether the store answered the last call for each table.
     pub(crate) store_available: RefCell<HashMap<SharedTable, bool>>,
-    /// When a peer last reported that the store did not answer it.
-    outage_reported: Cell<Option<MonoTime>>,
+    /// What peers show of the store.
+    pub(crate) witness: RefCell<StoreWitness>,
     table_version: Cell<u64>,
     is_store_reader: Cell<bool>,
     is_relay: Cell<bool>,
@@ -74,7 +74,7 @@
             replicas: RefCell::default(),
             registry: RefCell::default(),
             store_available: RefCell::default(),
-            outage_reported: Cell::new(None),
+            witness: RefCell::default(),
             table_version: Cell::new(0),
             is_store_reader: Cell::new(false),
             is_relay: Cell::new(false),
@@ -151,16 +151,6 @@
         !available.is_empty() && available.values().all(|is_available| *is_available)
     }
 
-    /// Records that the store does not answer a peer.
-    pub(crate) fn record_reported_outage(&self) {
-        self.outage_reported.set(Some(self.clock.now()));
-    }
-
-    /// Whether a peer has reported since then that the store did not answer it.
-    pub(crate) fn is_outage_reported_since(&self, since: MonoTime) -> bool {
-        self.outage_reported.get().is_some_and(|at| at >= since)
-    }
-
     /// Keeps targets whose entries are removed soon, since these may have lapsed in the outage of the
     /// store that has just ended.
     pub(crate) fn keep_lapsed_targets(&self) {
--- a/kwg-gateway/src/control/digest_handler.rs
+++ b/kwg-gateway/src/control/digest_handler.rs
@@ -173,10 +173,13 @@
                     self.outbox.send(from.as_str(), GateMessage::Resync);
                 }
                 let Some(digest) = digest else { return };
-                // An instance that has just started has not called the store yet.
-                if !digest.store_answers && digest.registry_revision > 0 {
-                    self.state.record_reported_outage();
-                }
+                let revision = digest.registry_revision.max(digest.orders_revision);
+                self.state.witness.borrow_mut().record(
+                    from.as_str(),
+                    digest.store_answers,
+                    revision,
+                    now,
+                );
                 if !self.roster.is_mesh() {
                     self.roster.keep_digest(from.as_str(), &digest);
                 }
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -68,7 +68,7 @@
             let pausing = match round {
                 Ok(reply) => {
                     let state = calling.reading_state();
-                    let (next, ends_outage) = calling.answered(now);
+                    let (next, ends_outage) = calling.answered(&self.state.witness.borrow(), now);
                     self.state.record_store_status(self.table, true, "answered");
                     self.state.metrics.record_store_call("answered");
                     // The reply may lack entries that lapsed in the outage.
@@ -80,13 +80,11 @@
                     continue;
                 }
                 Err(FeedError::BrokenOff) => {
-                    let is_outage = self.state.is_outage_reported_since(calling.sent());
                     let line = EventLine::new("poll-broken-off")
                         .field("table", table_name(self.table))
-                        .field("age_ms", now.since(calling.sent()).as_millis())
-                        .field("outage_reported", is_outage);
+                        .field("age_ms", now.since(calling.sent()).as_millis());
                     log::info!("{line}");
-                    feed = calling.broken_off(is_outage);
+                    feed = calling.broken_off(&self.state.witness.borrow());
                     continue;
                 }
                 Err(FeedError::Store(StoreError::HistoryDropped)) => {
@@ -95,17 +93,15 @@
                 }
                 Err(FeedError::Store(error)) => {
                     self.record_failure(&error.to_string());
-                    calling.failed(CallFailure::Broken, now, random())
+                    calling.failed(CallFailure::Broken, &self.state.witness.borrow(), now, random())
                 }
                 Err(FeedError::Call(error)) => {
                     self.record_failure(&error.to_string());
-                    let is_silent = error.kind() == io::ErrorKind::TimedOut
-                        || self.state.is_outage_reported_since(calling.sent());
-                    let failure = match is_silent {
-                        true => CallFailure::Unanswered,
-                        false => CallFailure::Broken,
+                    let failure = match error.kind() {
+                        io::ErrorKind::TimedOut => CallFailure::Unanswered,
+                        _ => CallFailure::Broken,
                     };
-                    calling.failed(failure, now, random())
+                    calling.failed(failure, &self.state.witness.borrow(), now, random())
                 }
             };
             self.state.clock.sleep_until(pausing.until()).await;
