fix(kwg-gate): a peer that starts again does not hide a removal from an instance that is cut off

What callers could see: an instance that the store does not reach kept using a removed target, if all who had seen the removal started again before it heard of it: what they read has no trace of it.

Before: a_removal_reaches_an_instance_that_is_cut_off_although_all_who_saw_it_start_again failed at !uses(t3). After: it passes.

Why it works: while the store does not answer it, an instance pulls one copy from each peer that it sees in a new run. It costs nothing while the store answers.

--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -36,8 +36,8 @@
 };
 pub use registry::{DomainDistance, DomainMap, TargetEntry, TargetRegistry};
 pub use replica::{
-    CallFailure, Calling, FeedCall, Pausing, ReadingState, StoreFeed, StoreRow, StoreWitness,
-    TableCopy, TableLag, TableMirror, TableReplica, Waiting,
+    CallFailure, Calling, FeedCall, Pausing, PeerRuns, ReadingState, StoreFeed, StoreRow,
+    StoreWitness, TableCopy, TableLag, TableMirror, TableReplica, Waiting,
 };
 pub use session::{
     Admitted, AttemptEvidence, AttemptPermit, AttemptVerdict, Dispatched, FinalOutcome,
--- a/kwg-gate/src/replica/mod.rs
+++ b/kwg-gate/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! An instance's copies of the store's tables: when the store is called, what counts as an outage of it, when
 //! a copy is pulled from a peer, and what a copy may replace.
 
+mod peer_runs;
 mod store_feed;
 mod store_row;
 mod store_witness;
@@ -8,6 +9,7 @@
 mod table_mirror;
 mod table_replica;
 
+pub use peer_runs::PeerRuns;
 pub use store_feed::{CallFailure, Calling, FeedCall, Pausing, StoreFeed, Waiting};
 pub use store_row::StoreRow;
 pub use store_witness::StoreWitness;
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallFailure, Calling, FeedCall, Pausing, ServiceName, StoreFeed, StoreRow, StoreWitness,
-    TableCopy, TableReplica, TargetEntry, TargetId, TargetRegistry, Waiting,
+    CallFailure, Calling, FeedCall, Pausing, PeerRuns, ServiceName, StoreFeed, StoreRow,
+    StoreWitness, TableCopy, TableReplica, TargetEntry, TargetId, TargetRegistry, Waiting,
 };
 use kwg_model::MonoTime;
 
@@ -113,7 +113,7 @@
 /// Messages between instances.
 #[derive(Debug, Clone)]
 enum PeerMessage {
-    Digest { revision: u64, store_lost: bool },
+    Digest { run: u64, revision: u64, store_lost: bool },
     Pull,
     Copy(TableCopy),
 }
@@ -131,6 +131,8 @@
     /// Whether the last call of the store failed.
     pub store_lost: bool,
     witness: StoreWitness,
+    runs: PeerRuns,
+    run: u64,
     /// Number of outages of the store that it has noticed.
     pub outages: u32,
     /// Highest revision known by key, and whether the row was removed at it.
@@ -147,6 +149,8 @@
             pulls: 0,
             store_lost: false,
             witness: StoreWitness::default(),
+            runs: PeerRuns::default(),
+            run: 0,
             outages: 0,
             seen: HashMap::new(),
         }
@@ -239,7 +243,7 @@
     /// Starts an instance again.
     pub fn restart(&mut self, node: usize) {
         let is_cut = self.nodes[node].is_cut;
-        self.nodes[node] = ReplicaNode { is_cut, ..ReplicaNode::new() };
+        self.nodes[node] = ReplicaNode { is_cut, run: self.now.as_millis(), ..ReplicaNode::new() };
         self.messages.retain(|(_, _, to, _)| *to != node);
     }
 
@@ -285,8 +289,8 @@
             self.nodes[from].registry.expire(now);
             let node = &self.nodes[from];
             let revision = node.replica.mirror().content_revision();
-            let store_lost = node.store_lost;
-            let digest = PeerMessage::Digest { revision, store_lost };
+            let (run, store_lost) = (node.run, node.store_lost);
+            let digest = PeerMessage::Digest { run, revision, store_lost };
             for to in (0..self.nodes.len()).filter(|to| *to != from) {
                 self.send(from, to, digest.clone());
             }
@@ -297,10 +301,14 @@
         let now = self.now;
         let node = &mut self.nodes[to];
         match message {
-            PeerMessage::Digest { revision, store_lost } => {
+            PeerMessage::Digest { run, revision, store_lost } => {
                 let peer = from.to_string();
+                node.runs.record(&peer, run);
+                if !node.store_lost {
+                    node.runs.record_store_answer();
+                }
                 node.witness.record(&peer, !store_lost, revision, now);
-                if node.replica.should_pull(revision, now) {
+                if node.replica.should_pull(revision, now) || node.runs.should_pull(&peer, now) {
                     node.pulls += 1;
                     self.break_off(to);
                     self.send(to, from, PeerMessage::Pull);
@@ -312,6 +320,7 @@
                 }
             }
             PeerMessage::Copy(copy) => {
+                node.runs.record_copy(&from.to_string());
                 if let Some(rows) = node.replica.apply_copy(copy) {
                     node.use_rows(&rows, now);
                 }
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -83,3 +83,17 @@
     assert!(!fleet.nodes[0].uses("t3") && !fleet.nodes[1].uses("t3"));
     assert!(!fleet.nodes[2].uses("t3"));
 }
+
+#[test]
+fn a_removal_reaches_an_instance_that_is_cut_off_although_all_who_saw_it_start_again() {
+    let mut fleet = fleet(3);
+    fleet.nodes[2].is_cut = true;
+    fleet.kill_connection(2);
+    fleet.run(4 * SECOND);
+    fleet.store.write("t3", None);
+    fleet.run(SECOND / 2);
+    fleet.restart(0);
+    fleet.restart(1);
+    fleet.run(2 * SECOND);
+    assert!(!fleet.nodes[2].uses("t3"));
+}
--- a/kwg-gateway/src/control/digest_handler.rs
+++ b/kwg-gateway/src/control/digest_handler.rs
@@ -5,7 +5,7 @@
 use async_channel::Sender;
 use kwg_gate::{
     DigestDelta, DigestExchange, DigestMirror, DigestSource, DomainView, FleetRoster, GateDigest,
-    InstanceMap,
+    InstanceMap, PeerRuns,
 };
 use kwg_model::{InstanceName, MonoTime};
 use kwg_telemetry::EventLine;
@@ -34,6 +34,7 @@
     sums_sent: u64,
     /// When the next domain sum is to be sent.
     sum_due: MonoTime,
+    runs: PeerRuns,
     /// Channels that end the long poll of each table's feed.
     wakeups: HashMap<SharedTable, Sender<()>>,
 }
@@ -53,6 +54,7 @@
             instances: InstanceMap::default(),
             sums_sent: 0,
             sum_due: MonoTime::ZERO,
+            runs: PeerRuns::default(),
             wakeups,
         }
     }
@@ -116,6 +118,7 @@
             log::info!("event=fleet-size instances={}", instances.size());
             let is_member = |name: &str| instances.domains.values().flatten().any(|n| n == name);
             self.exchange.retain(is_member);
+            self.runs.retain(is_member);
             self.state.send_to_traffic(TrafficInput::Instances(instances.clone()));
             self.instances = instances;
         }
@@ -184,6 +187,7 @@
                     self.roster.keep_digest(from.as_str(), &digest);
                 }
                 self.compare_tables(from, &digest, now);
+                self.pull_from_restarted(from, digest.run, now);
                 if self.roster.hears_members(now) {
                     self.send_digest(from.to_string(), digest);
                 }
@@ -277,6 +281,25 @@
         self.pull_if_behind(peer, SharedTable::Targets, digest.registry_revision, now);
     }
 
+    /// Requests copies from a peer that has started again, while the store does not answer this instance.
+    fn pull_from_restarted(&mut self, peer: &InstanceName, run: u64, now: MonoTime) {
+        self.runs.record(peer.as_str(), run);
+        if self.state.is_store_available() {
+            self.runs.record_store_answer();
+        }
+        if self.runs.should_pull(peer.as_str(), now) {
+            log::info!("event=peer-restarted peer={peer}");
+            for table in [SharedTable::Orders, SharedTable::Targets] {
+                self.outbox.send(peer.as_str(), GateMessage::Pull { table });
+            }
+        }
+    }
+
+    /// Records that a copy of a peer's tables has arrived.
+    pub(crate) fn record_copy(&mut self, peer: &InstanceName) {
+        self.runs.record_copy(peer.as_str());
+    }
+
     /// Requests a copy of a table from a peer, and wakes the feed, if the peer has been ahead for
     /// some time.
     fn pull_if_behind(
--- a/kwg-gateway/src/control/peer_handler.rs
+++ b/kwg-gateway/src/control/peer_handler.rs
@@ -215,6 +215,7 @@
                 }
             }
             GateMessage::Copy { table, revision, rows } => {
+                self.digests.record_copy(&from);
                 let rows = rows.into_iter().map(|(key, revision, value)| StoreRow {
                     key,
                     value: Some(value),
