fix(kwg-gate): an instance that the store does not answer pulls from a peer that is ahead at once

What callers could see: a removal that peers had found by a full reading after a dropped history took up to 6.5 s to reach an instance that was cut off from the store.

Cause: a peer must have been ahead for 0.5 s before its copy is pulled, so that changes on their way are not pulled; but nothing is on its way to an instance that the store does not answer.

--- a/kwg-gate/src/replica/table_lag.rs
+++ b/kwg-gate/src/replica/table_lag.rs
@@ -35,6 +35,16 @@
     /// Compares the revision that a peer reports with the one `known` here; returns whether to pull
     /// a copy from this peer now.
     pub fn should_pull(&mut self, known: u64, reported: u64, now: MonoTime) -> bool {
+        self.is_due(known, reported, MAX_LAG, now)
+    }
+
+    /// As [`Self::should_pull`], without the time for a change to arrive from the store: it does not answer
+    /// this instance.
+    pub fn should_pull_at_once(&mut self, known: u64, reported: u64, now: MonoTime) -> bool {
+        self.is_due(known, reported, Duration::ZERO, now)
+    }
+
+    fn is_due(&mut self, known: u64, reported: u64, max_lag: Duration, now: MonoTime) -> bool {
         self.newest = self.newest.max(reported);
         // Only an instance that has reached the newest reported revision has caught up; a report of
         // a peer that lags as well does not reset the timer.
@@ -46,7 +56,8 @@
         }
         let since = *self.behind_since.get_or_insert(now);
         let is_due = self.pulled.is_none_or(|at| now.since(at) > PULL_INTERVAL);
-        let should_pull = now.since(since) > MAX_LAG && is_due;
+        let has_waited = max_lag.is_zero() || now.since(since) > max_lag;
+        let should_pull = has_waited && is_due;
         if should_pull {
             self.pulled = Some(now);
         }
--- a/kwg-gate/src/replica/table_replica.rs
+++ b/kwg-gate/src/replica/table_replica.rs
@@ -60,10 +60,15 @@
     }
 
     /// Compares the revision of the last change that a peer reports with this copy; returns whether to
-    /// pull a copy from that peer now.
-    pub fn should_pull(&mut self, reported: u64, now: MonoTime) -> bool {
+    /// pull a copy from that peer now. `store_answers` is whether the store answered this instance's last
+    /// call.
+    pub fn should_pull(&mut self, reported: u64, store_answers: bool, now: MonoTime) -> bool {
         self.mirror.record_reported(reported);
-        self.lag.should_pull(self.mirror.covered_revision(), reported, now)
+        let covered = self.mirror.covered_revision();
+        match store_answers {
+            true => self.lag.should_pull(covered, reported, now),
+            false => self.lag.should_pull_at_once(covered, reported, now),
+        }
     }
 
     /// A copy for a peer; none before the first full reading.
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -308,7 +308,9 @@
                     node.runs.record_store_answer();
                 }
                 node.witness.record(&peer, !store_lost, revision, now);
-                if node.replica.should_pull(revision, now) || node.runs.should_pull(&peer, now) {
+                if node.replica.should_pull(revision, !node.store_lost, now)
+                    || node.runs.should_pull(&peer, now)
+                {
                     node.pulls += 1;
                     self.break_off(to);
                     self.send(to, from, PeerMessage::Pull);
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -224,7 +224,8 @@
 
     /// Whether to pull a copy of a table from a peer whose last known change is `reported`.
     pub(crate) fn should_pull(&self, table: SharedTable, reported: u64, now: MonoTime) -> bool {
-        self.with_replica(table, |replica| replica.should_pull(reported, now))
+        let answers = self.is_store_available();
+        self.with_replica(table, |replica| replica.should_pull(reported, answers, now))
     }
 
     fn with_replica<T>(&self, table: SharedTable, apply: impl FnOnce(&mut TableReplica) -> T) -> T {
