--- a/knapweedglade/tests/hostile_replies.rs
+++ b/knapweedglade/tests/hostile_replies.rs
@@ -170,3 +170,29 @@
         assert!(answer.status == 502 || answer.text() == own, "r{number}: {}", answer.text());
     }
 }
+
+#[test]
+fn a_refusal_that_is_sent_once_more_is_not_taken_for_the_reply_to_a_run() {
+    let fleet = TestFleet::start("refusal", 1);
+    fleet.runners[0].set_mode(RunnerMode::RepeatRefusal);
+    for (number, path) in ["/open/a", "/scan/a", "/open/b", "/scan/b"].iter().enumerate() {
+        let runs = fleet.runs();
+        let answer = fleet.call(&request("POST", path, &format!("r{number}")));
+        let has_run = fleet.runs() > runs;
+        let says_not_run = matches!(answer.status, 408 | 421 | 429 | 503);
+        assert!(!(has_run && says_not_run), "{path}: {} after a run", answer.status);
+    }
+}
+
+#[test]
+fn the_error_of_the_next_target_is_not_sent_within_a_stream() {
+    for path in ["/stream/draft/a", "/stream/digest/a"] {
+        let fleet = TestFleet::start("error-in-stream", 2);
+        fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::FailResumed));
+        let answer = fleet.call(&request("POST", path, "r1"));
+        let text = answer.text();
+        assert_eq!((answer.status, answer.is_complete), (200, false), "{path}: {text}");
+        assert!(text.ends_with("id: 2\ndata: piece 2\n\n"), "{path}: {text}");
+        assert!(!text.contains("error") && !text.contains("HTTP/1.1"), "{path}: {text}");
+    }
+}
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -70,6 +70,11 @@
     /// Answers, and sends a copy of the answer without an id in reply to the connection's next
     /// request.
     AnonymousCopy,
+    /// Declines the first request of a connection, and sends that refusal once more in reply to the
+    /// next one, which it runs.
+    RepeatRefusal,
+    /// Answers with status 500 if the request resumes a stream; otherwise as [`Self::DisconnectMidStream`].
+    FailResumed,
 }
 
 /// A request that a runner has received.
@@ -210,6 +215,29 @@
                 }
                 return Ok(());
             }
+            RunnerMode::RepeatRefusal => {
+                let mut refusal = HeadWriter::reply(503);
+                refusal.field("X-Knapweedglade-Request-Id", &id);
+                refusal.field("X-Knapweedglade-Not-Executed", 1);
+                let refusal = refusal.finish_with(b"");
+                reader.stream.write_all(&refusal)?;
+                // The first request has not run.
+                lock(shared).received.pop();
+                if let Some((head, body)) = reader.next()? {
+                    let next =
+                        head.headers.get("X-Knapweedglade-Request-Id").unwrap_or("").to_owned();
+                    lock(shared).received.push(ReceivedRequest { head, body });
+                    reader.stream.write_all(&refusal)?;
+                    let body = format!("answer to {next}");
+                    let answer = reply_to(&next, mode).finish_with(body.as_bytes());
+                    reader.stream.write_all(&answer)?;
+                }
+                return Ok(());
+            }
+            RunnerMode::FailResumed if head.headers.get("Last-Event-Id").is_some() => {
+                let reply = reply_to(&id, RunnerMode::Fail);
+                reader.stream.write_all(&reply.finish_with(b"id: 9\ndata: internal error\n\n"))?;
+            }
             RunnerMode::Decline | RunnerMode::DeclineLate(_) => {
                 if let RunnerMode::DeclineLate(pause_ms) = mode {
                     std::thread::sleep(Duration::from_millis(pause_ms));
@@ -312,7 +340,9 @@
             },
             _ => {}
         }
-        if mode == RunnerMode::DisconnectMidStream && event == last + 3 {
+        if matches!(mode, RunnerMode::DisconnectMidStream | RunnerMode::FailResumed)
+            && event == last + 3
+        {
             HeadWriter::write_chunk(&text.as_bytes()[..text.len() / 2], &mut chunk);
             reader.stream.write_all(&chunk)?;
             return Ok(false);
