feat(kwg-gate): what a target says of itself decides with the store about where requests go

Two rules of the users: a target that leaves says so in each answer (Server-Leaving), and one that turns a request away with 503 may say for how long it wants none (Retry-After). Neither was read: with the store silent from 11 to 23 s, all instances sent on to leaving targets.

TargetStanding holds for one run of a target (name, start and address) what the store, the target and peers say: open, paused or leaving, with the source. Placement, hand-over and the last check before sending ask only that. The target's own word holds for 30 s after it was last heard, also against a registry that says ready; peers learn it with the target's report, two bytes more. Nothing is sent to leaving targets even if a service has no others: its requests wait or are refused, for half a minute at most if the word is false. A pause is per instance, cut to 30 s; a time that is no single number of seconds counts as none and is logged. After it one request goes there, then twice as many with each success. While all targets pause, callers are told to return at the end of the first pause, spread by half of it. A pause is no failure and no evidence against a version. Reports have a new field: instances of earlier builds do not read them.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -178,7 +178,7 @@
             run,
             members: 1,
             accounts: self.quotas.usage().collect(),
-            targets: self.targets.reports(),
+            targets: self.targets.reports(now),
             waiting: self.waiting.counts().map(count).collect(),
             moves: self.move_reports(now),
             suspects: self.suspects.counts().collect(),
@@ -252,14 +252,18 @@
             }
             PlacementDecision::NoTarget => match self.next_look(plan, permit, now) {
                 Some(until) => return PlacementStep::Wait(until),
-                None => FinalOutcome::refused_until(RefusalReason::NoTarget, TARGET_RETRY),
+                None => {
+                    let outcome =
+                        FinalOutcome::refused_until(RefusalReason::NoTarget, TARGET_RETRY);
+                    self.refused_in_pause(outcome, query.service, draw, now)
+                }
             },
             PlacementDecision::Full => {
-                let (until, outcome) = self.wait_limit(details, plan, permit, &query);
+                let (until, outcome) = self.wait_limit(details, plan, permit, &query, now);
                 if now < until {
                     return PlacementStep::Wait(until);
                 }
-                outcome
+                self.refused_in_pause(outcome, query.service, draw, now)
             }
         };
         let outcome = match permit.may_have_run() {
--- a/kwg-gate/src/gate_core/next_run.rs
+++ b/kwg-gate/src/gate_core/next_run.rs
@@ -6,6 +6,9 @@
     AttemptPermit, FinalOutcome, PlacementDecision, PlacementQuery, RefusalReason, RequestDetails,
 };
 
+/// Share of a pause by which the return of callers that are refused in it is spread.
+const RETURN_SPREAD: f64 = 0.5;
+
 impl GateCore {
     /// Chooses a target: an untried one, of the version of the query if possible; else, after a pause,
     /// one that has been tried, if the request may have run.
@@ -56,11 +59,12 @@
         plan: &RoutePlan,
         permit: &AttemptPermit,
         query: &PlacementQuery<'_>,
+        now: MonoTime,
     ) -> (MonoTime, FinalOutcome) {
-        let expected = self.targets.best_expected(query);
+        let expected = self.targets.best_expected(query, now);
         let rest = match permit.may_have_run() && plan.kind.is_stream() {
             true => expected,
-            false => self.targets.best_answer(query),
+            false => self.targets.best_answer(query, now),
         };
         let first = plan.wait_until(details, expected);
         let until = match permit.may_have_run() {
@@ -73,6 +77,28 @@
         }
     }
 
+    /// The outcome of a request that no target of a service takes. Callers that are refused in a pause of all
+    /// targets return when it is over, one after the other.
+    pub(super) fn refused_in_pause(
+        &self,
+        outcome: FinalOutcome,
+        service: &str,
+        draw: f64,
+        now: MonoTime,
+    ) -> FinalOutcome {
+        let (FinalOutcome::Refused { reason, .. }, Some(left)) =
+            (outcome, self.targets.pause_left(service, now))
+        else {
+            return outcome;
+        };
+        match reason {
+            RefusalReason::Overloaded | RefusalReason::NoTarget => {
+                FinalOutcome::refused_until(reason, left.mul_f64(1.0 + RETURN_SPREAD * draw))
+            }
+            _ => outcome,
+        }
+    }
+
     /// When a request for which no target is known is to be placed again, because one of its targets may
     /// be back or another one known by then; none if it does not wait for that.
     pub(super) fn next_look(
--- a/kwg-gate/src/gate_core/second_target.rs
+++ b/kwg-gate/src/gate_core/second_target.rs
@@ -45,7 +45,7 @@
             && self.budget.has_room(&plan.service, self.peers.instances(), now);
         match self.targets.place(&query, now, draw) {
             PlacementDecision::Send(placement) if is_allowed => {
-                let expected = self.targets.cautious_expected(&query, &placement);
+                let expected = self.targets.cautious_expected(&query, &placement, now);
                 let is_quick = expected < HAND_OVER_TIME;
                 (is_quick && now + HAND_OVER_TIME < plan.due).then_some(placement)
             }
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -140,6 +140,8 @@
     pub hold_ms: u32,
     /// Number of samples in `hold_ms`.
     pub hold_weight: u8,
+    /// Mark of the run of the target that has told the instance that it leaves; 0 if none has.
+    pub leaving_run: u16,
 }
 
 impl TargetReport {
@@ -158,6 +160,7 @@
         self.step_weight = self.step_weight.saturating_add(other.step_weight);
         self.hold_ms = mean(self.hold_ms, self.hold_weight, other.hold_ms, other.hold_weight);
         self.hold_weight = self.hold_weight.saturating_add(other.hold_weight);
+        self.leaving_run = self.leaving_run.max(other.leaving_run);
     }
 
     /// Removes the counts of one of the instances that this report sums up.
--- a/kwg-gate/src/registry/target_entry.rs
+++ b/kwg-gate/src/registry/target_entry.rs
@@ -22,3 +22,11 @@
     /// Start time in Unix milliseconds; another value under the same name means another run.
     pub born: u64,
 }
+
+impl TargetEntry {
+    /// Whether another entry under the same name is of the same run of the target.
+    #[must_use]
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.born == other.born && self.address == other.address
+    }
+}
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -4,9 +4,11 @@
 mod placement;
 mod slot_share;
 mod target_health;
+mod target_standing;
 mod target_state;
 mod target_tracker;
 
 pub use placement::{Placement, PlacementDecision, PlacementQuery, VersionFilter};
+pub use target_standing::{StandingSource, StandingState, TargetWord};
 pub use target_state::AttemptSample;
 pub use target_tracker::{TargetKey, TargetTracker};
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -6,6 +6,7 @@
 use super::learned_mean::LearnedMean;
 use super::slot_share::SlotShare;
 use super::target_health::TargetHealth;
+use super::target_standing::TargetStanding;
 use crate::{InstanceMap, TargetEntry, TargetReport};
 
 /// Prior for the time of a decoding step, in milliseconds; counts as one sample in the mean.
@@ -29,6 +30,8 @@
 pub(crate) struct TargetState {
     pub(crate) entry: TargetEntry,
     pub(crate) health: TargetHealth,
+    /// Whether it takes requests, by the word of the store, of the target and of peers.
+    pub(crate) standing: TargetStanding,
     /// Number of this instance's attempts that occupy a slot of the target.
     pub(crate) running: u32,
     /// Prompt tokens of this instance's attempts that the target has not read yet.
@@ -99,9 +102,12 @@
 
 impl TargetState {
     pub(crate) fn new(entry: TargetEntry) -> Self {
+        let mut standing = TargetStanding::default();
+        standing.record_entry(entry.is_draining);
         Self {
             entry,
             health: TargetHealth::default(),
+            standing,
             running: 0,
             unread_tokens: 0,
             idle_connections: 0,
@@ -257,9 +263,23 @@
         }
     }
 
+    /// Whether one more request of this instance may be sent to the target: it is not leaving, and wants
+    /// requests.
+    pub(crate) fn takes_requests(&self, now: MonoTime) -> bool {
+        self.standing.accepts(self.running, now)
+    }
+
+    /// Mark of the target's run in reports; never 0.
+    fn run_mark(&self) -> u16 {
+        (self.entry.born % u64::from(u16::MAX)) as u16 + 1
+    }
+
     /// Applies a peer's report, or that the peer does not use the target. The answer counts of a
     /// report only grow, so the differences are new answers.
     pub(crate) fn apply_report(&mut self, peer: &str, report: Option<TargetReport>, now: MonoTime) {
+        if report.is_some_and(|report| report.leaving_run == self.run_mark()) {
+            self.standing.record_peer(now);
+        }
         match (self.reports.get_mut(peer), report) {
             (Some((at, before)), report) => {
                 let report = report.unwrap_or_default();
@@ -281,8 +301,9 @@
     }
 
     /// The report of this instance for its peers.
-    pub(crate) fn report(&self) -> TargetReport {
+    pub(crate) fn report(&self, now: MonoTime) -> TargetReport {
         TargetReport {
+            leaving_run: if self.standing.has_own_word(now) { self.run_mark() } else { 0 },
             running: u16::try_from(self.running).unwrap_or(u16::MAX),
             unread_tokens: u32::try_from(self.unread_tokens).unwrap_or(u32::MAX),
             good: self.good,
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -12,7 +12,8 @@
 use super::target_state::TargetState;
 use crate::{
     AttemptSample, DomainMap, GateDigest, InstanceMap, Placement, PlacementDecision,
-    PlacementQuery, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport,
+    PlacementQuery, StandingState, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport,
+    TargetWord,
 };
 
 /// Upper bound of the random amount added to the cost of a target at which this instance owns an
@@ -59,8 +60,11 @@
         for entry in registry.entries() {
             let known = self.ids.get(&entry.id).and_then(|key| self.targets.get_mut(*key));
             match known {
-                // A new run under an old name starts without the measurements of the old run.
-                Some(state) if state.entry.born == entry.born => state.entry = entry.clone(),
+                // A new run under an old name starts without what is known of the old run.
+                Some(state) if state.entry.is_same_run(entry) => {
+                    state.entry = entry.clone();
+                    state.standing.record_entry(entry.is_draining);
+                }
                 _ => {
                     let key = self.targets.insert(TargetState::new(entry.clone()));
                     self.codes.insert(TargetCode::of(entry.id.as_str()), key);
@@ -104,7 +108,7 @@
     pub fn place(&self, query: &PlacementQuery<'_>, now: MonoTime, draw: f64) -> PlacementDecision {
         let fits = |state: &TargetState| {
             state.entry.service.as_str() == query.service
-                && !state.entry.is_draining
+                && !state.standing.is_leaving(now)
                 && query.version.admits(&state.entry.version)
         };
         let last = self.last_of_part(query.version, fits, now);
@@ -118,7 +122,7 @@
         let any_accepts = candidates().any(|(_, state)| accepts(state));
         // If every target is paused, the best of them is still better than a refusal.
         let accepting = candidates().filter(|(_, state)| !any_accepts || accepts(state));
-        let load_limit = self.load_limit(query);
+        let load_limit = self.load_limit(query, now);
         let has_capacity = |(_, state): &(TargetKey, &TargetState)| {
             let is_local = state.entry.domain == self.domains.own;
             match (query.on_engine, load_limit) {
@@ -131,7 +135,8 @@
                 }
             }
         };
-        let with_capacity: Vec<_> = accepting.filter(has_capacity).collect();
+        let takes_requests = |(_, state): &(TargetKey, &TargetState)| state.takes_requests(now);
+        let with_capacity: Vec<_> = accepting.filter(takes_requests).filter(has_capacity).collect();
         match self.cheapest(with_capacity.into_iter(), query, now, draw) {
             Some(placement) => PlacementDecision::Send(placement),
             None if candidates().next().is_none() => PlacementDecision::NoTarget,
@@ -143,8 +148,8 @@
     /// all targets of the service that are not draining. Their version, health and earlier attempts
     /// are ignored. 1000 s if there is no such target.
     #[must_use]
-    pub fn best_expected(&self, query: &PlacementQuery<'_>) -> Duration {
-        self.shortest(query, |state| {
+    pub fn best_expected(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Duration {
+        self.shortest(query, now, |state| {
             placement::work_ms(state, query, self.domains.distance(&state.entry.domain))
         })
     }
@@ -155,16 +160,17 @@
         &self,
         query: &PlacementQuery<'_>,
         placement: &Placement,
+        now: MonoTime,
     ) -> Duration {
         let is_measured = |state: &TargetState| state.is_measured(query.on_engine);
         let fits = |state: &&TargetState| {
-            state.entry.service.as_str() == query.service && !state.entry.is_draining
+            state.entry.service.as_str() == query.service && !state.standing.is_leaving(now)
         };
         let has_measured = self.targets.values().filter(fits).any(is_measured);
         if !has_measured || self.targets.get(placement.target).is_none_or(is_measured) {
             return placement.expected;
         }
-        let quickest = self.shortest(query, |state| match is_measured(state) {
+        let quickest = self.shortest(query, now, |state| match is_measured(state) {
             true => placement::work_ms(state, query, self.domains.distance(&state.entry.domain)),
             false => f64::INFINITY,
         });
@@ -174,8 +180,8 @@
     /// Shortest expected time until the end of the answer, of the most tokens that it may have; as
     /// [`Self::best_expected`] otherwise.
     #[must_use]
-    pub fn best_answer(&self, query: &PlacementQuery<'_>) -> Duration {
-        self.shortest(query, |state| {
+    pub fn best_answer(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Duration {
+        self.shortest(query, now, |state| {
             placement::answer_ms(state, query, self.domains.distance(&state.entry.domain))
         })
     }
@@ -183,10 +189,11 @@
     fn shortest(
         &self,
         query: &PlacementQuery<'_>,
+        now: MonoTime,
         time_ms: impl Fn(&TargetState) -> f64,
     ) -> Duration {
         let states = self.targets.values().filter(|state| {
-            state.entry.service.as_str() == query.service && !state.entry.is_draining
+            state.entry.service.as_str() == query.service && !state.standing.is_leaving(now)
         });
         let shortest = states.map(time_ms).fold(f64::INFINITY, f64::min);
         Duration::from_secs_f64(shortest.min(1e6) / 1e3)
@@ -221,12 +228,43 @@
 
     /// Number of free slots of a service that this instance may take.
     #[must_use]
-    pub fn free_slots(&self, service: &str) -> u32 {
-        let targets = self
-            .targets
-            .values()
-            .filter(|state| state.entry.service.as_str() == service && !state.entry.is_draining);
-        targets.map(TargetState::usable_slots).sum()
+    pub fn free_slots(&self, service: &str, now: MonoTime) -> u32 {
+        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
+        let targets = self.targets.values().filter(of_service);
+        targets.filter(|state| state.takes_requests(now)).map(TargetState::usable_slots).sum()
+    }
+
+    /// Time until the first pause of the targets of a service ends, if all that do not leave are paused.
+    #[must_use]
+    pub fn pause_left(&self, service: &str, now: MonoTime) -> Option<Duration> {
+        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
+        let targets = self.targets.values().filter(of_service);
+        let staying = targets.filter(|state| !state.standing.is_leaving(now));
+        let ends = staying.map(|state| match state.standing.state(now) {
+            StandingState::Paused { until } => until,
+            _ => now,
+        });
+        ends.min().filter(|end| *end > now).map(|end| end.since(now))
+    }
+
+    /// Whether requests may be sent to a target: it is known and does not leave.
+    #[must_use]
+    pub fn standing(&self, key: TargetKey, now: MonoTime) -> Option<StandingState> {
+        self.targets.get(key).map(|state| state.standing.state(now))
+    }
+
+    /// Applies what a target says of itself; returns its state if that has changed.
+    pub fn record_word(
+        &mut self,
+        key: TargetKey,
+        word: TargetWord,
+        now: MonoTime,
+    ) -> Option<StandingState> {
+        let standing = &mut self.targets.get_mut(key)?.standing;
+        let before = standing.state(now);
+        standing.record_word(word, now);
+        let after = standing.state(now);
+        (before != after).then_some(after)
     }
 
     /// The live instances.
@@ -302,6 +340,7 @@
         if let Some(state) = self.targets.get_mut(key) {
             state.good += 1;
             state.health.record_success(now);
+            state.standing.record_success(state.entry.slots);
             state.add_sample(sample);
         }
     }
@@ -340,9 +379,9 @@
 
     /// Reports of this instance on the targets that it has used, for its peers.
     #[must_use]
-    pub fn reports(&self) -> Vec<(TargetCode, TargetReport)> {
+    pub fn reports(&self, now: MonoTime) -> Vec<(TargetCode, TargetReport)> {
         let report =
-            |state: &TargetState| (TargetCode::of(state.entry.id.as_str()), state.report());
+            |state: &TargetState| (TargetCode::of(state.entry.id.as_str()), state.report(now));
         let reports = self.targets.values().map(report);
         reports.filter(|(_, report)| *report != TargetReport::default()).collect()
     }
--- a/kwg-gate/src/target/target_tracker/version_targets.rs
+++ b/kwg-gate/src/target/target_tracker/version_targets.rs
@@ -4,7 +4,7 @@
 
 use super::TargetTracker;
 use crate::target::target_state::TargetState;
-use crate::{PlacementQuery, ServiceName, TargetCode, TargetEntry, VersionFilter, VersionPresence};
+use crate::{PlacementQuery, ServiceName, TargetCode, VersionFilter, VersionPresence};
 
 impl TargetTracker {
     /// Versions of the targets of a service, which may be repeated.
@@ -15,13 +15,12 @@
 
     /// Whether a version of a service has targets that are not draining, and whether others have any.
     #[must_use]
-    pub fn presence(&self, service: &ServiceName, version: &str) -> VersionPresence {
-        let entries = self.targets.values().map(|state| &state.entry);
-        let mut of_service = entries.filter(|entry| entry.service == *service);
-        let is_version = |entry: &&TargetEntry| entry.version == version;
-        if !of_service.clone().any(|entry| is_version(&entry) && !entry.is_draining) {
+    pub fn presence(&self, service: &ServiceName, version: &str, now: MonoTime) -> VersionPresence {
+        let mut of_service = self.targets.values().filter(|state| state.entry.service == *service);
+        let is_version = |state: &TargetState| state.entry.version == version;
+        if !of_service.clone().any(|state| is_version(state) && !state.standing.is_leaving(now)) {
             VersionPresence::Absent
-        } else if of_service.all(|entry| is_version(&entry)) {
+        } else if of_service.all(is_version) {
             VersionPresence::Sole
         } else {
             VersionPresence::Beside
@@ -66,12 +65,12 @@
 
     /// Number of requests at which a target of a part of a version is full: the mean number at targets of
     /// other versions, rounded up.
-    pub(super) fn load_limit(&self, query: &PlacementQuery<'_>) -> Option<u32> {
+    pub(super) fn load_limit(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<u32> {
         let VersionFilter::Part { version, .. } = query.version else { return None };
         let others = self.targets.values().filter(|state| {
             state.entry.service.as_str() == query.service
                 && state.entry.version != version
-                && !state.entry.is_draining
+                && !state.standing.is_leaving(now)
         });
         let add = |(sum, count), state: &TargetState| (sum + state.load(), count + 1);
         let (sum, count) = others.fold((0_u32, 0), add);
--- a/kwg-gate/tests/next_runs.rs
+++ b/kwg-gate/tests/next_runs.rs
@@ -19,7 +19,7 @@
     let session = send(core, 1, start());
     let target = session.placement().target;
     let mut number = 2;
-    while core.targets().free_slots("llm") > 0 {
+    while core.targets().free_slots("llm", start()) > 0 {
         send(core, number, start());
         number += 1;
     }
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -25,6 +25,7 @@
     refusals: Family<NameLabel, Counter>,
     dropped: Family<NameLabel, Counter>,
     store_calls: Family<NameLabel, Counter>,
+    standings: Family<NameLabel, Counter>,
     connects: Counter,
     answer_seconds: Histogram,
 }
@@ -36,17 +37,29 @@
         let refusals = Family::default();
         let dropped = Family::default();
         let store_calls = Family::default();
+        let standings = Family::default();
         let connects = Counter::default();
         let answer_seconds = Histogram::new(SECONDS_BUCKETS);
         registry.register("attempts", "Attempts at targets, by outcome", attempts.clone());
         registry.register("refusals", "Requests without an answer, by reason", refusals.clone());
         registry.register("dropped", "What was dropped for want of room", dropped.clone());
         registry.register("store_calls", "Calls to the store, by outcome", store_calls.clone());
+        let help = "Changes of what targets say of themselves, by state";
+        registry.register("target_standings", help, standings.clone());
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
         registry.register("answer_seconds", help, answer_seconds.clone());
         let registry = Arc::new(registry);
-        Self { registry, attempts, refusals, dropped, store_calls, connects, answer_seconds }
+        Self {
+            registry,
+            attempts,
+            refusals,
+            dropped,
+            store_calls,
+            standings,
+            connects,
+            answer_seconds,
+        }
     }
 
     /// Counts an attempt. `total` is the time from the request's first byte to the end of the
@@ -68,6 +81,10 @@
         self.store_calls.get_or_create(&label(outcome)).inc();
     }
 
+    pub(crate) fn record_standing(&self, state: &str) {
+        self.standings.get_or_create(&label(state)).inc();
+    }
+
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
     }
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -4,7 +4,9 @@
 
 use futures_lite::FutureExt;
 use kwg_adapter::{OutgoingCall, ReplyKind, TargetCodec};
-use kwg_gate::{AttemptEvidence, Dispatched, GateSession, RequestKind, ReservedTarget, TargetKey};
+use kwg_gate::{
+    AttemptEvidence, Dispatched, GateSession, RequestKind, ReservedTarget, StandingState, TargetKey,
+};
 use kwg_h1::{ReplyHead, RequestHead};
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
@@ -130,8 +132,10 @@
     ) -> Result<Vec<u8>, AttemptEvidence> {
         let core = self.state.core.borrow();
         let entry = core.targets().entry(target);
-        // A target that started to drain while the connection was opened gets no new request.
-        let entry = entry.filter(|entry| !entry.is_draining).ok_or(AttemptEvidence::NotSent)?;
+        // A target that was found to leave, or paused, while the connection was opened gets no new request.
+        let standing = core.targets().standing(target, self.state.clock.now());
+        let is_open = standing == Some(StandingState::Open);
+        let entry = entry.filter(|_| is_open).ok_or(AttemptEvidence::NotSent)?;
         let call = OutgoingCall {
             target: &entry.id,
             account: session.account(),
--- a/kwg-gateway/src/traffic/target_exchange.rs
+++ b/kwg-gateway/src/traffic/target_exchange.rs
@@ -107,6 +107,9 @@
             _ if self.written == 0 => return Err(AttemptEvidence::NotSent),
             read => read?,
         };
+        if kind != ReplyKind::Unusable {
+            self.state.record_word(self.link.target, &head);
+        }
         let decoder = BodyDecoder::new(match self.request.starts_with(b"HEAD ") {
             // Its length is that of the body that is not sent.
             true => BodyFraming::Length(0),
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -1,9 +1,12 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use kwg_adapter::TargetCodec;
 use kwg_clock::ClockHandle;
-use kwg_gate::{CallerLimits, GateCore};
+use kwg_gate::{CallerLimits, GateCore, StandingState, TargetKey};
+use kwg_h1::ReplyHead;
 use kwg_model::MonoTime;
+use kwg_telemetry::EventLine;
 
 use super::connection_pool::ConnectionPool;
 use super::stop_signal::StopSignal;
@@ -62,6 +65,32 @@
         })
     }
 
+    /// Applies what a target says of itself in the head of a reply, and logs a change.
+    pub(crate) fn record_word(&self, target: TargetKey, head: &ReplyHead) {
+        let (word, bad_pause) = TargetCodec::decode_word(head);
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        let changed = core.targets_mut().record_word(target, word, now);
+        let name = core.targets().entry(target).map_or("gone", |entry| entry.id.as_str());
+        if let Some(text) = bad_pause {
+            let line = EventLine::new("pause-unreadable").field("target", name);
+            log::warn!("{}", line.field("retry_after", text));
+        }
+        if let Some(state) = changed {
+            let line = EventLine::new("target-standing").field("target", name);
+            let line = line.field("state", state.as_str());
+            let line = match state {
+                StandingState::Open => line,
+                StandingState::Paused { until } => {
+                    line.field("for_ms", until.since(now).as_millis())
+                }
+                StandingState::Leaving { source, .. } => line.field("source", source.as_str()),
+            };
+            log::info!("{line}");
+            self.metrics.record_standing(state.as_str());
+        }
+    }
+
     /// Whether load balancers should route new connections to this instance.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.core.borrow().is_ready()
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -138,7 +138,7 @@
         let waiting = core.waiting().counts().filter(|(_, count)| *count > 0);
         waiting
             .map(|(service, count)| {
-                let free = core.targets().free_slots(service.as_str());
+                let free = core.targets().free_slots(service.as_str(), state.clock.now());
                 (service.clone(), free.min(u32::try_from(count).unwrap_or(u32::MAX)))
             })
             .collect()
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -73,6 +73,12 @@
     /// Declines the first request of a connection, and sends that refusal once more in reply to the
     /// next one, which it runs.
     RepeatRefusal,
+    /// As [`Self::Answer`], and says in each answer that it leaves.
+    Leaving,
+    /// Declines with the mark that it leaves.
+    DeclineLeaving,
+    /// Declines with 503, and wants no request for this many milliseconds.
+    Pause(u64),
     /// Answers with status 500 if the request resumes a stream; otherwise as [`Self::DisconnectMidStream`].
     FailResumed,
 }
@@ -238,12 +244,22 @@
                 let reply = reply_to(&id, RunnerMode::Fail);
                 reader.stream.write_all(&reply.finish_with(b"id: 9\ndata: internal error\n\n"))?;
             }
-            RunnerMode::Decline | RunnerMode::DeclineLate(_) => {
+            RunnerMode::Decline
+            | RunnerMode::DeclineLate(_)
+            | RunnerMode::DeclineLeaving
+            | RunnerMode::Pause(_) => {
                 if let RunnerMode::DeclineLate(pause_ms) = mode {
                     std::thread::sleep(Duration::from_millis(pause_ms));
                 }
                 let mut reply = HeadWriter::reply(503);
                 reply.field("X-Knapweedglade-Not-Executed", 1);
+                match mode {
+                    RunnerMode::DeclineLeaving => reply.field("Server-Leaving", 1),
+                    RunnerMode::Pause(millis) => {
+                        reply.field("Retry-After", millis as f64 / 1e3);
+                    }
+                    _ => {}
+                }
                 reader.stream.write_all(&reply.finish_with(b""))?;
             }
             _ if head.target.starts_with("/stream/") => {
@@ -362,6 +378,9 @@
         _ => 200,
     });
     reply.field("X-Knapweedglade-Request-Id", id);
+    if mode == RunnerMode::Leaving {
+        reply.field("Server-Leaving", 1);
+    }
     if mode != RunnerMode::Unsealed {
         reply.field("X-Knapweedglade-Server-Seal", format_args!("seal-{id}"));
     }
