--- a/kwg-bench/src/overload/overload_replay.rs
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -369,7 +369,8 @@
     pub(super) fn wake_all(&mut self, node: usize) {
         for service in ["llm", "app"] {
             let core = &self.nodes[node].core;
-            let count = core.targets().free_slots(service).min(core.waiting().count(service));
+            let free = core.targets().free_slots(service, self.now());
+            let count = free.min(core.waiting().count(service));
             self.wake(node, service, count);
         }
     }
