--- a/kwg-gate/tests/second_runs.rs
+++ b/kwg-gate/tests/second_runs.rs
@@ -19,7 +19,7 @@
     // Three seconds into the stream its target crashes. The slots of the other one are in use at this
     // moment, and it has seven seconds left.
     let mut number = 2;
-    while core.targets().free_slots("llm") > 0 {
+    while core.targets().free_slots("llm", start()) > 0 {
         send(&mut core, number, start());
         number += 1;
     }
--- a/kwg-gate/tests/silence.rs
+++ b/kwg-gate/tests/silence.rs
@@ -51,7 +51,7 @@
     // target had room for them.
     let mut core = core(2, STREAM);
     let session = send(&mut core, "r1");
-    while core.targets().free_slots("llm") > 0 {
+    while core.targets().free_slots("llm", now()) > 0 {
         send(&mut core, "other");
     }
     assert_eq!(session.reserve(&core, 0.5, now()), None);
