--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -144,11 +144,16 @@
         self.targets.claim_slots(share, waits, draw, now);
     }
 
-    /// Applies the digest of a peer.
-    pub fn apply_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
+    /// Applies the digest of a peer; returns the targets that were found to leave by its word.
+    pub fn apply_digest(
+        &mut self,
+        peer: &str,
+        digest: &GateDigest,
+        now: MonoTime,
+    ) -> Vec<TargetKey> {
         self.peers.record_report(peer, u32::from(digest.members), now);
         self.peers.record_waiting(peer, &digest.waiting);
-        self.targets.apply_digest(peer, digest, now);
+        let leaving = self.targets.apply_digest(peer, digest, now);
         for usage in &digest.accounts {
             self.quotas.apply_usage(peer, digest.run, &usage.label, usage.used, now);
         }
@@ -159,6 +164,7 @@
         for (fingerprint, cuts) in &digest.suspects {
             self.suspects.apply_report(peer, *fingerprint, *cuts, now);
         }
+        leaving
     }
 
     /// Drops the load reports of peers that have stopped reporting; returns their names.
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -361,15 +361,27 @@
     }
 
     /// Applies the digest of a peer. Targets that it does not contain are unused there.
-    pub fn apply_digest(&mut self, peer: &str, digest: &GateDigest, now: MonoTime) {
+    /// Returns the targets that were found to leave by the peer's word.
+    pub fn apply_digest(
+        &mut self,
+        peer: &str,
+        digest: &GateDigest,
+        now: MonoTime,
+    ) -> Vec<TargetKey> {
         let reports: HashMap<TargetKey, TargetReport> = digest
             .targets
             .iter()
             .filter_map(|(code, report)| Some((*self.codes.get(code)?, *report)))
             .collect();
+        let mut leaving = Vec::new();
         for (key, state) in &mut self.targets {
+            let was_leaving = state.standing.is_leaving(now);
             state.apply_report(peer, reports.get(&key).copied(), now);
+            if !was_leaving && state.standing.is_leaving(now) {
+                leaving.push(key);
+            }
         }
+        leaving
     }
 
     /// Drops all reports of a peer.
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -112,7 +112,12 @@
             removed.into_iter().for_each(|target| pool.remove_target(target));
         }
         TrafficInput::Digest(peer, digest) => {
-            core.apply_digest(&peer, &digest, now);
+            for target in core.apply_digest(&peer, &digest, now) {
+                let name = core.targets().entry(target).map_or("gone", |entry| entry.id.as_str());
+                let line = EventLine::new("target-standing").field("target", name);
+                log::info!("{}", line.field("state", "leaving").field("source", &peer));
+                state.metrics.record_standing("leaving");
+            }
             drop(core);
             wake_waiting(state);
         }
