--- a/kwg-gate/tests/replica_schedules.rs
+++ b/kwg-gate/tests/replica_schedules.rs
@@ -3,12 +3,15 @@
 
 #[path = "support/replica_fleet.rs"]
 mod replica_fleet;
+#[path = "support/store_model.rs"]
+mod store_model;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use kwg_model::MonoTime;
-use replica_fleet::{ReplicaFleet, SeededDraws, TICK};
+use replica_fleet::{ReplicaFleet, TICK};
+use store_model::SeededDraws;
 
 /// Time after which no request may be sent to a target that has left.
 const DRAIN_LIMIT: Duration = Duration::from_millis(2_500);
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -3,6 +3,8 @@
 
 #[path = "support/replica_fleet.rs"]
 mod replica_fleet;
+#[path = "support/store_model.rs"]
+mod store_model;
 
 use std::time::Duration;
 
