--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -14,6 +14,10 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) {
+        // The target was found to leave or pause while it was being connected.
+        if evidence == AttemptEvidence::NotSent && !self.targets.is_open(target, now) {
+            return;
+        }
         match evidence {
             // A declined request indicates load, not a fault, and an expired deadline or a withdrawn
             // request is no evidence about the target.
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -118,10 +118,12 @@
                 && last.is_none_or(|last| part_place(state, now) <= last)
         };
         let candidates = || self.targets.iter().filter(untried);
+        let takes_requests = |(_, state): &(TargetKey, &TargetState)| state.takes_requests(now);
+        let open = || candidates().filter(takes_requests);
         let accepts = |state: &TargetState| state.health.accepts_requests(now);
-        let any_accepts = candidates().any(|(_, state)| accepts(state));
-        // If every target is paused, the best of them is still better than a refusal.
-        let accepting = candidates().filter(|(_, state)| !any_accepts || accepts(state));
+        let any_accepts = open().any(|(_, state)| accepts(state));
+        // If every target is suspected of a fault, the best of them is still better than a refusal.
+        let accepting = open().filter(|(_, state)| !any_accepts || accepts(state));
         let load_limit = self.load_limit(query, now);
         let has_capacity = |(_, state): &(TargetKey, &TargetState)| {
             let is_local = state.entry.domain == self.domains.own;
@@ -135,8 +137,7 @@
                 }
             }
         };
-        let takes_requests = |(_, state): &(TargetKey, &TargetState)| state.takes_requests(now);
-        let with_capacity: Vec<_> = accepting.filter(takes_requests).filter(has_capacity).collect();
+        let with_capacity: Vec<_> = accepting.filter(has_capacity).collect();
         match self.cheapest(with_capacity.into_iter(), query, now, draw) {
             Some(placement) => PlacementDecision::Send(placement),
             None if candidates().next().is_none() => PlacementDecision::NoTarget,
@@ -247,7 +248,13 @@
         ends.min().filter(|end| *end > now).map(|end| end.since(now))
     }
 
-    /// Whether requests may be sent to a target: it is known and does not leave.
+    /// Whether a target is known, does not leave and does not pause.
+    #[must_use]
+    pub fn is_open(&self, key: TargetKey, now: MonoTime) -> bool {
+        self.standing(key, now) == Some(StandingState::Open)
+    }
+
+    /// Whether a target takes requests, and who says so; none if it is not known.
     #[must_use]
     pub fn standing(&self, key: TargetKey, now: MonoTime) -> Option<StandingState> {
         self.targets.get(key).map(|state| state.standing.state(now))
--- a/kwg-gate/tests/standing.rs
+++ b/kwg-gate/tests/standing.rs
@@ -196,6 +196,27 @@
     assert_eq!(core.targets().standing(paused, end), Some(StandingState::Open));
 }
 
+#[test]
+fn a_request_that_was_not_sent_because_of_a_pause_is_no_failure_of_the_target() {
+    let mut core = core(1, RequestKind::Idempotent);
+    let session = send(&mut core, 1, start());
+    let key = session.placement().target;
+    core.targets_mut().record_word(key, pause(1), start());
+    core.targets_mut().end_attempt(key);
+    drop(session.close(&mut core, AttemptEvidence::NotSent, start()));
+    let bad: u32 = core.digest(1, start()).targets.iter().map(|(_, report)| report.bad).sum();
+    assert_eq!(bad, 0);
+}
+
+#[test]
+fn a_target_that_pauses_does_not_keep_requests_from_one_that_has_failed() {
+    let (mut core, paused, failed) = two_targets();
+    core.targets_mut().record_word(paused, pause(5), start());
+    core.targets_mut().record_failure(failed, start());
+    core.targets_mut().record_failure(failed, start());
+    assert_eq!(next_target(&mut core, 9, start()), Some(failed), "there is no better one");
+}
+
 #[test]
 fn a_pause_that_is_absurdly_long_ends() {
     let (mut core, paused, _) = two_targets();
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -4,9 +4,7 @@
 
 use futures_lite::FutureExt;
 use kwg_adapter::{OutgoingCall, ReplyKind, TargetCodec};
-use kwg_gate::{
-    AttemptEvidence, Dispatched, GateSession, RequestKind, ReservedTarget, StandingState, TargetKey,
-};
+use kwg_gate::{AttemptEvidence, Dispatched, GateSession, RequestKind, ReservedTarget, TargetKey};
 use kwg_h1::{ReplyHead, RequestHead};
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
@@ -133,8 +131,7 @@
         let core = self.state.core.borrow();
         let entry = core.targets().entry(target);
         // A target that was found to leave, or paused, while the connection was opened gets no new request.
-        let standing = core.targets().standing(target, self.state.clock.now());
-        let is_open = standing == Some(StandingState::Open);
+        let is_open = core.targets().is_open(target, self.state.clock.now());
         let entry = entry.filter(|_| is_open).ok_or(AttemptEvidence::NotSent)?;
         let call = OutgoingCall {
             target: &entry.id,
