--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod target_words;
 mod version_targets;
 
 use std::collections::HashMap;
@@ -12,8 +13,7 @@
 use super::target_state::TargetState;
 use crate::{
     AttemptSample, DomainMap, GateDigest, InstanceMap, Placement, PlacementDecision,
-    PlacementQuery, StandingState, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport,
-    TargetWord,
+    PlacementQuery, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport,
 };
 
 /// Upper bound of the random amount added to the cost of a target at which this instance owns an
@@ -235,45 +235,6 @@
         targets.filter(|state| state.takes_requests(now)).map(TargetState::usable_slots).sum()
     }
 
-    /// Time until the first pause of the targets of a service ends, if all that do not leave are paused.
-    #[must_use]
-    pub fn pause_left(&self, service: &str, now: MonoTime) -> Option<Duration> {
-        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
-        let targets = self.targets.values().filter(of_service);
-        let staying = targets.filter(|state| !state.standing.is_leaving(now));
-        let ends = staying.map(|state| match state.standing.state(now) {
-            StandingState::Paused { until } => until,
-            _ => now,
-        });
-        ends.min().filter(|end| *end > now).map(|end| end.since(now))
-    }
-
-    /// Whether a target is known, does not leave and does not pause.
-    #[must_use]
-    pub fn is_open(&self, key: TargetKey, now: MonoTime) -> bool {
-        self.standing(key, now) == Some(StandingState::Open)
-    }
-
-    /// Whether a target takes requests, and who says so; none if it is not known.
-    #[must_use]
-    pub fn standing(&self, key: TargetKey, now: MonoTime) -> Option<StandingState> {
-        self.targets.get(key).map(|state| state.standing.state(now))
-    }
-
-    /// Applies what a target says of itself; returns its state if that has changed.
-    pub fn record_word(
-        &mut self,
-        key: TargetKey,
-        word: TargetWord,
-        now: MonoTime,
-    ) -> Option<StandingState> {
-        let standing = &mut self.targets.get_mut(key)?.standing;
-        let before = standing.state(now);
-        standing.record_word(word, now);
-        let after = standing.state(now);
-        (before != after).then_some(after)
-    }
-
     /// The live instances.
     pub(crate) fn instances(&self) -> &InstanceMap {
         &self.instances
--- /dev/null
+++ b/kwg-gate/src/target/target_tracker/target_words.rs
@@ -0,0 +1,48 @@
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use super::TargetTracker;
+use crate::target::target_state::TargetState;
+use crate::{StandingState, TargetKey, TargetWord};
+
+impl TargetTracker {
+    /// Time until the first pause of the targets of a service ends, if all that do not leave are paused.
+    #[must_use]
+    pub fn pause_left(&self, service: &str, now: MonoTime) -> Option<Duration> {
+        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
+        let targets = self.targets.values().filter(of_service);
+        let staying = targets.filter(|state| !state.standing.is_leaving(now));
+        let ends = staying.map(|state| match state.standing.state(now) {
+            StandingState::Paused { until } => until,
+            _ => now,
+        });
+        ends.min().filter(|end| *end > now).map(|end| end.since(now))
+    }
+
+    /// Whether a target is known, does not leave and does not pause.
+    #[must_use]
+    pub fn is_open(&self, key: TargetKey, now: MonoTime) -> bool {
+        self.standing(key, now) == Some(StandingState::Open)
+    }
+
+    /// Whether a target takes requests, and who says so; none if it is not known.
+    #[must_use]
+    pub fn standing(&self, key: TargetKey, now: MonoTime) -> Option<StandingState> {
+        self.targets.get(key).map(|state| state.standing.state(now))
+    }
+
+    /// Applies what a target says of itself; returns its state if that has changed.
+    pub fn record_word(
+        &mut self,
+        key: TargetKey,
+        word: TargetWord,
+        now: MonoTime,
+    ) -> Option<StandingState> {
+        let standing = &mut self.targets.get_mut(key)?.standing;
+        let before = standing.state(now);
+        standing.record_word(word, now);
+        let after = standing.state(now);
+        (before != after).then_some(after)
+    }
+}
