--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -4,8 +4,8 @@
 
 use super::{ReadingState, StoreWitness};
 
-/// How long the store may hold a long poll for changes. A dead connection is detected after
-/// this time and the limit of a call at the latest, or sooner if a peer reports a newer revision.
+/// How long the store may hold a long poll for changes. A dead connection is detected sooner, by probes or
+/// because a peer reports a newer revision.
 const FEED_WAIT: Duration = Duration::from_secs(8);
 /// Times after a dropped history at which a table is read in full again, because the store's reads
 /// may be stale for seconds then.
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -45,7 +45,7 @@
 }
 
 impl TableFeed {
-    /// Creates a feed. A message on `wakeups` ends a long poll early; it is sent when a peer has
+    /// Creates a feed. A message on `wakeups` breaks a long poll off; it is sent when a peer has
     /// changes that the store has not delivered here.
     pub(crate) fn new(state: &Rc<ControlState>, table: SharedTable, wakeups: Receiver<()>) -> Self {
         let link = StoreLink::new(state.settings.store, state.clock.clone());
