--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -37,6 +37,9 @@
     after: u64,
     /// Since when its connection delivers nothing.
     dead_since: Option<MonoTime>,
+    /// Whether the store was silent when the call or its reply was due: no reply comes, although the
+    /// connection is alive.
+    is_lost: bool,
 }
 
 /// Messages between instances.
@@ -274,20 +277,19 @@
     fn step_feed(&mut self, index: usize) {
         let (now, draw) = (self.now, self.draws.next());
         let (store, node) = (&self.store, &mut self.nodes[index]);
-        let is_reached = !store.is_silent && !node.is_cut;
         let feed = node.feed.take().expect("a state");
         node.feed = Some(match feed {
             FeedState::Waiting(feed) => {
                 let after = node.replica.mirror().revision();
-                let dead_since = (!is_reached).then_some(now);
-                let call = OpenCall { sent: now, after, dead_since };
+                let dead_since = node.is_cut.then_some(now);
+                let call = OpenCall { sent: now, after, dead_since, is_lost: store.is_silent };
                 FeedState::Calling(feed.begin(now), call)
             }
             FeedState::Pausing(pausing) if now >= pausing.until() => {
                 FeedState::Waiting(pausing.resume())
             }
             FeedState::Pausing(pausing) => FeedState::Pausing(pausing),
-            FeedState::Calling(calling, call) => {
+            FeedState::Calling(calling, mut call) => {
                 let age = now.since(call.sent);
                 let (wait, reply) = match calling.call() {
                     FeedCall::Read => (Duration::ZERO, (age >= TRANSIT).then(|| store.read())),
@@ -298,7 +300,9 @@
                     }
                 };
                 let is_follow = matches!(calling.call(), FeedCall::Follow { .. });
-                match reply.filter(|_| is_reached && call.dead_since.is_none()) {
+                call.is_lost |= store.is_silent && reply.is_some();
+                let is_heard = !node.is_cut && !call.is_lost && call.dead_since.is_none();
+                match reply.filter(|_| is_heard) {
                     Some(_) if is_follow && call.after < store.dropped => {
                         self.history_missed = now;
                         FeedState::Pausing(calling.history_dropped(now, draw))
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -11,6 +11,10 @@
 use replica_fleet::ReplicaFleet;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Time after a disturbance of the store from which the limits hold.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+/// Time within which a change is known: the limit of 2.5 s, less what follows the knowledge.
+const KNOWN_LIMIT: Duration = Duration::from_secs(2);
 
 fn fleet(size: usize) -> ReplicaFleet {
     let mut fleet = ReplicaFleet::new(size, &["t1", "t2", "t3"], 1);
@@ -99,3 +103,34 @@
     fleet.run(2 * SECOND);
     assert!(!fleet.nodes[2].uses("t3"));
 }
+
+#[test]
+fn a_target_that_leaves_after_a_silent_outage_is_known_within_the_limit() {
+    let mut fleet = fleet(9);
+    fleet.run(4 * SECOND);
+    fleet.store.is_silent = true;
+    // Long enough for the polls to time out, so that the next calls are sent in the silence.
+    fleet.run(13 * SECOND / 2);
+    fleet.store.is_silent = false;
+    fleet.run(CONTACT_TIME);
+    fleet.store.write("t3", Some(b"draining"));
+    fleet.run(KNOWN_LIMIT);
+    assert!(fleet.nodes.iter().all(|node| !node.uses("t3")));
+}
+
+#[test]
+fn polls_that_are_sent_in_a_short_silence_do_not_hide_a_change_for_longer_than_the_limit() {
+    let mut fleet = fleet(9);
+    fleet.store.write("t4", Some(b"ready"));
+    while !fleet.nodes.iter().all(|node| node.uses("t4")) {
+        fleet.step();
+    }
+    // The next polls are sent in the silence.
+    fleet.store.is_silent = true;
+    fleet.run(SECOND / 2);
+    fleet.store.is_silent = false;
+    fleet.run(CONTACT_TIME);
+    fleet.store.write("t3", Some(b"draining"));
+    fleet.run(KNOWN_LIMIT);
+    assert!(fleet.nodes.iter().all(|node| !node.uses("t3")));
+}
