fix(kwg-gate): a poll that the store has lost hides changes for 5.5 s at most, not 9.5

Cause: a call that arrives while the store is silent is never answered, although its connection is alive, so only the time limit of a long poll ends it. If all instances send one then, no peer is ahead. Class: a time limit that was chosen for cost hides a change for longer than the bound. 8 + 1.5 s leave 5.5 s after the contact time of 4 s, against 2.5 s; 4 + 1.5 s leave 1.5 s.

Ruled out: probes of the kernel (the connection is alive); a shorter limit only after a change (a peer's pull, a check and a restart send such polls as well). Cost: twice as many empty replies to long polls where nothing changes.

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -4,9 +4,9 @@
 
 use super::{ReadingState, StoreWitness};
 
-/// How long the store may hold a long poll for changes. A dead connection is detected sooner, by probes or
-/// because a peer reports a newer revision.
-const FEED_WAIT: Duration = Duration::from_secs(8);
+/// How long the store may hold a long poll for changes. It bounds how long a poll that the store has lost hides
+/// changes. A dead connection is detected sooner, by probes or because a peer reports a newer revision.
+const FEED_WAIT: Duration = Duration::from_secs(4);
 /// Times after a dropped history at which a table is read in full again, because the store's reads
 /// may be stale for seconds then.
 const RECHECKS: [Duration; 3] =
