fix(kwg-gate): pulls whose messages are lost are repeated often enough for the limit

The peer knew at once; pulls at 0.7, 1.5 and 2.3 s were lost in part, 5% of the messages in the model. Cause: 0.6 s between two pulls, chosen when each pull was a whole copy. They are changes since a revision now.

--- a/kwg-gate/src/replica/table_lag.rs
+++ b/kwg-gate/src/replica/table_lag.rs
@@ -5,8 +5,9 @@
 /// How long a peer may be ahead before a copy is pulled from it: changes take some milliseconds to
 /// arrive from the store.
 const MAX_LAG: Duration = Duration::from_millis(500);
-/// Minimum interval between two pulls: copying a large table takes some hundred milliseconds.
-const PULL_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum interval between two pulls. A pull or its reply may be lost, so several must fit into the time within
+/// which a change has to be in force.
+const PULL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Detects when an instance has lagged behind its peers in a table for so long that it should
 /// pull a copy from one of them.
--- a/kwg-gate/tests/replica_schedules.rs
+++ b/kwg-gate/tests/replica_schedules.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use kwg_model::MonoTime;
-use replica_fleet::{ReplicaFleet, TICK};
+use replica_fleet::{ReplicaFleet, ReplicaNode, TICK};
 use store_model::SeededDraws;
 
 /// Time after which no request may be sent to a target that has left.
@@ -203,9 +203,14 @@
     fn describe(&self, number: usize, target: &str) -> String {
         let node = &self.fleet.nodes[number];
         let mirror = node.replica.mirror();
+        let covered = |node: &ReplicaNode| {
+            let mirror = node.replica.mirror();
+            (mirror.covered_revision(), mirror.revision(), node.store_lost, node.pulls)
+        };
+        let all: Vec<_> = self.fleet.nodes.iter().map(covered).collect();
         format!(
             "held until {:?}, row revision {}, covered {}, of the store {}, cut {}, unheard {:?}, restarted {:?}, \
-             store disturbed {:?}",
+             store disturbed {:?}, all (covered, followed to, store lost, pulls) {all:?}",
             node.registry.held_until(&kwg_gate::TargetId::new(target)),
             mirror.row_revision(target),
             mirror.covered_revision(),
