fix(kwg-gate): a target's word holds until it starts again, and a pause as long as it states, up to ten minutes

Cause: both were cut to 30 s so that a false word would not cost a service its target for good. It costs one target now until it starts again; a log line and a gauge say so after 30 s. A pause of over ten minutes is cut to that, and logged.

Shown: a_word_holds_until_the_target_starts_again (used after 31 s before), a_peers_word_holds_although_that_peer_is_gone, a_pause_holds_as_long_as_stated_up_to_ten_minutes (45 s: open after 30 s before). They replace a_false_word_holds_for_half_a_minute_... and a_pause_that_is_absurdly_long_ends, which asserted the cut; while all targets of a service say so, requests are refused as before (its test).

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -184,7 +184,7 @@
             run,
             members: 1,
             accounts: self.quotas.usage().collect(),
-            targets: self.targets.reports(now),
+            targets: self.targets.reports(),
             waiting: self.waiting.counts().map(count).collect(),
             moves: self.move_reports(now),
             suspects: self.suspects.counts().collect(),
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -50,7 +50,7 @@
     RouteRule, RouteTable, ServiceRule,
 };
 pub use target::{
-    AttemptSample, Placement, PlacementDecision, PlacementQuery, StandingSource, StandingState,
-    TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
+    StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId};
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -9,6 +9,6 @@
 mod target_tracker;
 
 pub use placement::{Placement, PlacementDecision, PlacementQuery, VersionFilter};
-pub use target_standing::{StandingSource, StandingState, TargetWord};
+pub use target_standing::{LONGEST_PAUSE, StandingSource, StandingState, TargetWord};
 pub use target_state::AttemptSample;
 pub use target_tracker::{TargetKey, TargetTracker};
--- a/kwg-gate/src/target/target_standing.rs
+++ b/kwg-gate/src/target/target_standing.rs
@@ -2,11 +2,11 @@
 
 use kwg_model::MonoTime;
 
-/// How long a target's own word that it leaves holds although the store lists it as ready. A target that
-/// leaves is gone by then; one that is not is asked again, and each answer that repeats the word renews it.
-const LEAVING_TIME: Duration = Duration::from_secs(30);
 /// The longest pause that a target may ask for; longer ones are cut to it.
-const MAX_PAUSE: Duration = Duration::from_secs(30);
+pub const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+/// Age of a word that a target leaves from which on it is doubtful, if the store still lists the target as
+/// ready: a target that leaves is gone by then.
+const DOUBT_TIME: Duration = Duration::from_secs(30);
 /// Number of this instance's requests at a target after its pause, until one is answered.
 const FIRST_RETURNS: u32 = 1;
 
@@ -54,10 +54,12 @@
 pub(crate) struct TargetStanding {
     /// Whether its entry says that it drains.
     is_draining: bool,
-    /// When its own word was first and last heard.
-    own_word: Option<(MonoTime, MonoTime)>,
-    /// When a peer's report of its word was first and last heard.
-    peer_word: Option<(MonoTime, MonoTime)>,
+    /// When its own word was first heard. It holds as long as this run of the target is known.
+    own_word: Option<MonoTime>,
+    /// When a peer's report of its word was first heard.
+    peer_word: Option<MonoTime>,
+    /// Whether it has been told that the word is doubtful.
+    is_doubt_told: bool,
     paused_until: MonoTime,
     /// Number of requests that this instance may run at it, after a pause; none without a bound.
     return_limit: Option<u32>,
@@ -90,16 +92,11 @@
 impl TargetStanding {
     /// The state at a moment. The store's word goes first, then the target's own one.
     pub(crate) fn state(&self, now: MonoTime) -> StandingState {
-        let holds = |word: Option<(MonoTime, MonoTime)>| {
-            word.filter(|(_, last)| now.since(*last) < LEAVING_TIME).map(|(first, _)| first)
-        };
         if self.is_draining {
             return StandingState::Leaving { source: StandingSource::Store, since: None };
         }
-        let words = [
-            (StandingSource::Target, holds(self.own_word)),
-            (StandingSource::Peer, holds(self.peer_word)),
-        ];
+        let words =
+            [(StandingSource::Target, self.own_word), (StandingSource::Peer, self.peer_word)];
         let leaving = words.into_iter().find(|(_, since)| since.is_some());
         match leaving {
             Some((source, since)) => StandingState::Leaving { source, since },
@@ -128,22 +125,17 @@
     /// Applies what the target says of itself.
     pub(crate) fn record_word(&mut self, word: TargetWord, now: MonoTime) {
         if word.is_leaving {
-            let first = self.own_word.map_or(now, |(first, _)| first);
-            self.own_word = Some((first, now));
-        } else if now >= self.leaving_until() {
-            // The first answer after the word has ceased to hold.
-            self.own_word = None;
+            self.own_word.get_or_insert(now);
         }
         if let Some(pause) = word.pause {
-            self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+            self.paused_until = self.paused_until.max(now + pause.min(LONGEST_PAUSE));
             self.return_limit = Some(FIRST_RETURNS);
         }
     }
 
     /// Records that a peer reports the target's word.
     pub(crate) fn record_peer(&mut self, now: MonoTime) {
-        let first = self.peer_word.map_or(now, |(first, _)| first);
-        self.peer_word = Some((first, now));
+        self.peer_word.get_or_insert(now);
     }
 
     /// Records a successful answer: after a pause, twice as many requests may run.
@@ -152,11 +144,20 @@
     }
 
     /// Whether the target's own word is to be reported to peers.
-    pub(crate) fn has_own_word(&self, now: MonoTime) -> bool {
-        self.own_word.is_some() && now < self.leaving_until()
+    pub(crate) fn has_own_word(&self) -> bool {
+        self.own_word.is_some()
     }
 
-    fn leaving_until(&self) -> MonoTime {
-        self.own_word.map_or(MonoTime::ZERO, |(_, last)| last + LEAVING_TIME)
+    /// Whether it is said to leave and the store has listed it as ready for so long that this may be false.
+    pub(crate) fn is_doubtful(&self, now: MonoTime) -> bool {
+        let since = self.own_word.or(self.peer_word);
+        !self.is_draining && since.is_some_and(|since| now.since(since) >= DOUBT_TIME)
+    }
+
+    /// Whether that has just become so.
+    pub(crate) fn take_doubt(&mut self, now: MonoTime) -> bool {
+        let is_new = self.is_doubtful(now) && !self.is_doubt_told;
+        self.is_doubt_told |= is_new;
+        is_new
     }
 }
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -301,9 +301,9 @@
     }
 
     /// The report of this instance for its peers.
-    pub(crate) fn report(&self, now: MonoTime) -> TargetReport {
+    pub(crate) fn report(&self) -> TargetReport {
         TargetReport {
-            leaving_run: if self.standing.has_own_word(now) { self.run_mark() } else { 0 },
+            leaving_run: if self.standing.has_own_word() { self.run_mark() } else { 0 },
             running: u16::try_from(self.running).unwrap_or(u16::MAX),
             unread_tokens: u32::try_from(self.unread_tokens).unwrap_or(u32::MAX),
             good: self.good,
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -359,9 +359,9 @@
 
     /// Reports of this instance on the targets that it has used, for its peers.
     #[must_use]
-    pub fn reports(&self, now: MonoTime) -> Vec<(TargetCode, TargetReport)> {
+    pub fn reports(&self) -> Vec<(TargetCode, TargetReport)> {
         let report =
-            |state: &TargetState| (TargetCode::of(state.entry.id.as_str()), state.report(now));
+            |state: &TargetState| (TargetCode::of(state.entry.id.as_str()), state.report());
         let reports = self.targets.values().map(report);
         reports.filter(|(_, report)| *report != TargetReport::default()).collect()
     }
--- a/kwg-gate/src/target/target_tracker/target_words.rs
+++ b/kwg-gate/src/target/target_tracker/target_words.rs
@@ -4,7 +4,7 @@
 
 use super::TargetTracker;
 use crate::target::target_state::TargetState;
-use crate::{StandingState, TargetKey, TargetWord};
+use crate::{StandingState, TargetId, TargetKey, TargetWord};
 
 impl TargetTracker {
     /// Time until the first pause of the targets of a service ends, if all that do not leave are paused.
@@ -45,4 +45,19 @@
         let after = standing.state(now);
         (before != after).then_some(after)
     }
+
+    /// Number of targets that are said to leave although the store has listed them as ready for half a minute
+    /// since.
+    #[must_use]
+    pub fn doubtful_count(&self, now: MonoTime) -> usize {
+        self.targets.values().filter(|state| state.standing.is_doubtful(now)).count()
+    }
+
+    /// Those of them that have not been returned before.
+    pub fn take_doubtful(&mut self, now: MonoTime) -> Vec<TargetId> {
+        let states = self.targets.values_mut();
+        let doubtful = states
+            .filter_map(|state| state.standing.take_doubt(now).then(|| state.entry.id.clone()));
+        doubtful.collect()
+    }
 }
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -137,7 +137,7 @@
                 let has_waiting = |peer: &str, _: &str| Some(waiting[index_of[peer]] > 0);
                 instances[index].2.claim_slots(|_| share, has_waiting, draw(), now);
                 let digest =
-                    GateDigest { targets: instances[index].2.reports(now), ..Default::default() };
+                    GateDigest { targets: instances[index].2.reports(), ..Default::default() };
                 let (from, domain) = (instances[index].0.clone(), instances[index].1);
                 for (to, (_, other, _)) in
                     instances.iter().enumerate().filter(|(to, _)| *to != index)
--- a/kwg-gate/tests/standing.rs
+++ b/kwg-gate/tests/standing.rs
@@ -104,15 +104,43 @@
 }
 
 #[test]
-fn a_false_word_holds_for_half_a_minute_after_it_was_last_heard() {
+fn a_word_holds_until_the_target_starts_again() {
     let (mut core, leaving, _) = two_targets();
     core.targets_mut().record_word(leaving, LEAVING, start());
     let at = |secs: u64| start() + Duration::from_secs(secs);
-    core.targets_mut().record_word(leaving, LEAVING, at(10));
-    assert_ne!(core.targets().standing(leaving, at(39)), Some(StandingState::Open));
-    assert_eq!(core.targets().standing(leaving, at(40)), Some(StandingState::Open));
-    let again = core.targets_mut().record_word(leaving, LEAVING, at(41));
-    assert!(again.is_some(), "it says so again");
+    // Neither its own answers nor the store take it back.
+    core.targets_mut().record_word(leaving, TargetWord::default(), at(40));
+    core.set_registry(&registry(2));
+    for secs in [31, 600, 86_400] {
+        let state = core.targets().standing(leaving, at(secs));
+        assert!(matches!(state, Some(StandingState::Leaving { .. })), "{secs} s: {state:?}");
+        assert_ne!(next_target(&mut core, secs, at(secs)), Some(leaving));
+    }
+}
+
+#[test]
+fn a_word_that_the_store_does_not_confirm_is_told_once_as_doubtful() {
+    let (mut core, leaving, _) = two_targets();
+    core.targets_mut().record_word(leaving, LEAVING, start());
+    let at = |secs: u64| start() + Duration::from_secs(secs);
+    assert!(core.targets_mut().take_doubtful(at(29)).is_empty());
+    let name = core.targets().entry(leaving).expect("known").id.clone();
+    assert_eq!(core.targets_mut().take_doubtful(at(30)), [name]);
+    assert!(core.targets_mut().take_doubtful(at(31)).is_empty());
+    assert_eq!(core.targets().doubtful_count(at(31)), 1);
+}
+
+#[test]
+fn a_peers_word_holds_although_that_peer_is_gone() {
+    let (mut hearer, leaving, _) = two_targets();
+    hearer.targets_mut().record_word(leaving, LEAVING, start());
+    let name = hearer.targets().entry(leaving).expect("known").id.clone();
+    let (mut peer, first, second) = two_targets();
+    let key = if peer.targets().entry(first).expect("known").id == name { first } else { second };
+    peer.apply_digest("hearer", &hearer.digest(1, start()), start());
+    let later = start() + Duration::from_secs(120);
+    peer.drop_silent_peers(later);
+    assert!(!peer.targets().is_open(key, later));
 }
 
 #[test]
@@ -218,11 +246,16 @@
 }
 
 #[test]
-fn a_pause_that_is_absurdly_long_ends() {
-    let (mut core, paused, _) = two_targets();
-    core.targets_mut().record_word(paused, pause(1_000_000), start());
-    let later = start() + Duration::from_secs(30);
-    assert_eq!(core.targets().standing(paused, later), Some(StandingState::Open));
+fn a_pause_holds_as_long_as_stated_up_to_ten_minutes() {
+    for (stated, held) in [(45, 45), (599, 599), (600, 600), (1_000_000, 600)] {
+        let (mut core, paused, _) = two_targets();
+        core.targets_mut().record_word(paused, pause(stated), start());
+        let end = start() + Duration::from_secs(held);
+        let before = MonoTime::from_millis(end.as_millis() - 1);
+        let state = core.targets().standing(paused, before);
+        assert_eq!(state, Some(StandingState::Paused { until: end }), "{stated}");
+        assert_eq!(core.targets().standing(paused, end), Some(StandingState::Open));
+    }
 }
 
 #[test]
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -26,6 +27,7 @@
     dropped: Family<NameLabel, Counter>,
     store_calls: Family<NameLabel, Counter>,
     standings: Family<NameLabel, Counter>,
+    doubtful: Gauge,
     connects: Counter,
     answer_seconds: Histogram,
 }
@@ -38,6 +40,7 @@
         let dropped = Family::default();
         let store_calls = Family::default();
         let standings = Family::default();
+        let doubtful = Gauge::default();
         let connects = Counter::default();
         let answer_seconds = Histogram::new(SECONDS_BUCKETS);
         registry.register("attempts", "Attempts at targets, by outcome", attempts.clone());
@@ -46,6 +49,9 @@
         registry.register("store_calls", "Calls to the store, by outcome", store_calls.clone());
         let help = "Changes of what targets say of themselves, by state";
         registry.register("target_standings", help, standings.clone());
+        let help =
+            "Targets that are said to leave, but that the store has listed as ready for 30 s since";
+        registry.register("targets_doubtful", help, doubtful.clone());
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
         registry.register("answer_seconds", help, answer_seconds.clone());
@@ -57,6 +63,7 @@
             dropped,
             store_calls,
             standings,
+            doubtful,
             connects,
             answer_seconds,
         }
@@ -85,6 +92,11 @@
         self.standings.get_or_create(&label(state)).inc();
     }
 
+    /// Sets the number of targets that may be wrong about leaving.
+    pub(crate) fn set_doubtful(&self, count: usize) {
+        self.doubtful.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
     }
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -3,7 +3,7 @@
 
 use kwg_adapter::TargetCodec;
 use kwg_clock::ClockHandle;
-use kwg_gate::{CallerLimits, GateCore, StandingState, TargetKey};
+use kwg_gate::{CallerLimits, GateCore, LONGEST_PAUSE, StandingState, TargetKey};
 use kwg_h1::ReplyHead;
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
@@ -76,6 +76,11 @@
             let line = EventLine::new("pause-unreadable").field("target", name);
             log::warn!("{}", line.field("retry_after", text));
         }
+        if let Some(pause) = word.pause.filter(|pause| *pause > LONGEST_PAUSE) {
+            let line = EventLine::new("pause-cut").field("target", name);
+            let line = line.field("stated_s", pause.as_secs());
+            log::warn!("{}", line.field("cut_to_s", LONGEST_PAUSE.as_secs()));
+        }
         if let Some(state) = changed {
             let line = EventLine::new("target-standing").field("target", name);
             let line = line.field("state", state.as_str());
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -163,6 +163,10 @@
         for peer in core.drop_silent_peers(now) {
             log::info!("event=peer-silent peer={peer}");
         }
+        for target in core.targets_mut().take_doubtful(now) {
+            log::warn!("event=leaving-doubtful target={target}");
+        }
+        state.metrics.set_doubtful(core.targets().doubtful_count(now));
         let (proved, decisions): (Vec<MoveDecision>, Vec<MoveDecision>) =
             core.decide_moves(now).into_iter().partition(|made| made.phase == MovePhase::Running);
         for MoveDecision { order, reason, .. } in proved {
