fix(kwg-gate): a request that cannot end before a stopping instance does is refused as not run

Here they got 502 at the end of the period, or their stream was closed: an outcome, but a request lost that another instance had the time for. Cause: only requests that wait for a slot were held to the end of the period, not those for which a slot is free. Now a first run is sent only if the answer at the chosen target is expected to end in time; else the caller gets 503 with a Retry-After. Requests that may have run go on as before.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -250,6 +250,11 @@
         let outcome = match decision {
             _ if now >= plan.due => FinalOutcome::refused(RefusalReason::TimedOut),
             _ if self.has_ended(now) => FinalOutcome::stopping(),
+            PlacementDecision::Send(placement)
+                if !permit.may_have_run() && self.would_be_cut(&query, &placement, now) =>
+            {
+                FinalOutcome::stopping()
+            }
             PlacementDecision::Send(placement) => {
                 if self.may_send(details, plan, permit, now) {
                     return PlacementStep::Send(placement);
--- a/kwg-gate/src/gate_core/planned_stop.rs
+++ b/kwg-gate/src/gate_core/planned_stop.rs
@@ -3,6 +3,7 @@
 use kwg_model::MonoTime;
 
 use super::GateCore;
+use crate::{Placement, PlacementQuery};
 
 impl GateCore {
     /// Sets when every request must have its outcome, because the instance stops. From then on no
@@ -22,4 +23,16 @@
         let left = self.end?.since(MonoTime::ZERO);
         Some(MonoTime::ZERO + left.saturating_sub(rest))
     }
+
+    /// Whether the answer at a chosen target is not expected to end before the instance stops: another
+    /// instance still has the time for it.
+    pub(super) fn would_be_cut(
+        &self,
+        query: &PlacementQuery<'_>,
+        placement: &Placement,
+        now: MonoTime,
+    ) -> bool {
+        let expected = self.targets.expected_answer(query, placement.target);
+        self.last_start(expected).is_some_and(|last| now > last)
+    }
 }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -178,6 +178,15 @@
         quickest.max(placement.expected)
     }
 
+    /// Expected time until the end of the answer, of the most tokens that it may have, at one target; none
+    /// if that is gone.
+    pub(crate) fn expected_answer(&self, query: &PlacementQuery<'_>, key: TargetKey) -> Duration {
+        let expected = self.targets.get(key).map(|state| {
+            placement::answer_ms(state, query, self.domains.distance(&state.entry.domain))
+        });
+        Duration::from_secs_f64(expected.unwrap_or(0.0).min(1e6) / 1e3)
+    }
+
     /// Shortest expected time until the end of the answer, of the most tokens that it may have; as
     /// [`Self::best_expected`] otherwise.
     #[must_use]
