test: a head that breaks off is not passed on as an answer

Another operator's report: a runner stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole. Ruled out here: no part of a head parses as a whole one (all lengths of three heads), and a process that gets 0, 5, 16, 30, 70 or all but the last byte of a head answers 502, with a second run only for what may be repeated.

--- a/knapweedglade/tests/hostile_replies.rs
+++ b/knapweedglade/tests/hostile_replies.rs
@@ -196,3 +196,18 @@
         assert!(!text.contains("error") && !text.contains("HTTP/1.1"), "{path}: {text}");
     }
 }
+
+#[test]
+fn a_head_that_breaks_off_is_not_passed_on_as_an_answer() {
+    // Within the status line, a field, and the line end after the last field.
+    for length in [0, 5, 16, 30, 70, usize::MAX] {
+        let fleet = TestFleet::start("cut-head", 2);
+        fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::CutHead(length)));
+        for (path, runs) in [("/scan/a", 2), ("/open/a", 1), ("/stream/digest/a", 1)] {
+            let before = fleet.runs();
+            let answer = fleet.call(&request("POST", path, "r1"));
+            assert_eq!(answer.status, 502, "{path}, {length} bytes: {}", answer.text());
+            assert_eq!(fleet.runs() - before, runs, "{path}, {length} bytes");
+        }
+    }
+}
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -47,6 +47,20 @@
     assert_eq!(ReplyHead::parse(b"HTTP/1.1 20"), Ok(None));
 }
 
+#[test]
+fn no_part_of_a_reply_head_is_a_whole_one() {
+    for head in [
+        "HTTP/1.1 200 OK\r\nX-Seal: a\r\nContent-Length: 1234\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n",
+    ] {
+        for length in 0..head.len() {
+            let parsed = ReplyHead::parse(&head.as_bytes()[..length]);
+            assert_eq!(parsed, Ok(None), "{:?}", &head[..length]);
+        }
+    }
+}
+
 #[test]
 fn a_truncated_body_may_not_end() {
     for (framing, bytes) in
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -39,6 +39,8 @@
     AnswerTwice,
     /// Answers without the seal header.
     Unsealed,
+    /// Sends this many bytes of the head of its answer, and closes the connection.
+    CutHead(usize),
     /// Sends a body shorter than its `Content-Length`.
     ShortBody,
     /// Does not answer; closes the connection when a further request arrives.
@@ -262,6 +264,11 @@
                 }
                 reader.stream.write_all(&reply.finish_with(b""))?;
             }
+            RunnerMode::CutHead(length) => {
+                let head = reply_to(&id, mode).finish_with(b"x");
+                reader.stream.write_all(&head[..length.min(head.len() - 2)])?;
+                return reader.stream.shutdown(Shutdown::Write);
+            }
             _ if head.target.starts_with("/stream/") => {
                 if !stream_events(reader, &head, &id, mode)? {
                     return Ok(());
