fix(kwg-gate): a grace period that begins late ends within the limit for targets that leave

Cause: the replies to all polls were lost in a short silence; the polls were awaited for 5.5 s, and the grace period of 2 s for entries that lapsed began only then: 7.7 s after the store's return, against 4 s of contact time and 2.5 s. Class: waits, each within its own limit, whose sum nobody had bounded. Now the table of targets is polled for 2.5 s, that of orders, without a grace period, for 4 s, and a reply to a poll is awaited for 1 s more: 2.5 + 1 + 0.2 + 2 + 0.2 s of 6.5. Shown: a_grace_period_after_an_outage_that_was_noticed_late_keeps_no_target_beyond_the_limit, red before. Ruled out: ending the grace period earlier (when the store came back is not known).

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -7,6 +7,9 @@
 /// How long the store may hold a long poll for changes. It bounds how long a poll that the store has lost hides
 /// changes. A dead connection is detected sooner, by probes or because a peer reports a newer revision.
 const FEED_WAIT: Duration = Duration::from_secs(4);
+/// The same for a table whose removed rows are kept for a grace period after an outage, which begins only when
+/// the outage is known to be over.
+const GRACE_FEED_WAIT: Duration = Duration::from_millis(2_500);
 /// The pause after a first failed call; it doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause between calls, short enough to detect a recovered store well within the
@@ -86,6 +89,8 @@
 
 #[derive(Debug)]
 struct FeedSchedule {
+    /// How long the store may hold a long poll.
+    longest_wait: Duration,
     /// The pause after the next failed call.
     pause: Duration,
     /// Whether the whole table is to be read.
@@ -101,7 +106,18 @@
     #[must_use]
     #[expect(clippy::new_without_default, reason = "a default would hide the state")]
     pub fn new() -> Self {
+        Self::waiting_up_to(FEED_WAIT)
+    }
+
+    /// As [`Self::new`], for a table whose removed rows are kept for a grace period after an outage of the store.
+    #[must_use]
+    pub fn with_grace() -> Self {
+        Self::waiting_up_to(GRACE_FEED_WAIT)
+    }
+
+    fn waiting_up_to(longest_wait: Duration) -> Self {
         let schedule = FeedSchedule {
+            longest_wait,
             pause: MIN_PAUSE,
             needs_reading: true,
             checks: None,
@@ -113,14 +129,15 @@
     /// Chooses the next call.
     #[must_use]
     pub fn begin(self, now: MonoTime) -> StoreFeed<Calling> {
-        let FeedSchedule { needs_reading, checks, failing_since, .. } = &self.schedule;
+        let FeedSchedule { longest_wait, needs_reading, checks, failing_since, .. } =
+            &self.schedule;
         let call = match checks {
             _ if *needs_reading => FeedCall::Read,
             // The store is back once it answers, not once something changes.
             _ if failing_since.is_some() => FeedCall::Follow { wait: Duration::ZERO },
             Some(plan) if plan.is_due(now) => FeedCall::Check { floor: plan.floor() },
-            Some(plan) => FeedCall::Follow { wait: plan.time_left(now).min(FEED_WAIT) },
-            None => FeedCall::Follow { wait: FEED_WAIT },
+            Some(plan) => FeedCall::Follow { wait: plan.time_left(now).min(*longest_wait) },
+            None => FeedCall::Follow { wait: *longest_wait },
         };
         StoreFeed { schedule: self.schedule, state: Calling { call, sent: now } }
     }
--- a/kwg-gate/tests/replica_schedules.rs
+++ b/kwg-gate/tests/replica_schedules.rs
@@ -1,5 +1,5 @@
 //! Random schedules of cuts, outages, restarts, dead connections, lost messages, stale readings and dropped
-//! histories: no row goes back, and a target that leaves is known to leave within the limit.
+//! histories: no row goes back, and a target that leaves, or a new configuration, is known within the limit.
 
 #[path = "support/replica_fleet.rs"]
 mod replica_fleet;
@@ -30,6 +30,7 @@
     Remove,
     Add,
     ChangeElsewhere,
+    Configure,
     Restart,
     Cut,
     DeadConnection,
@@ -38,11 +39,12 @@
     Gap,
 }
 
-const EVENTS: [(FleetEvent, f64); 10] = [
+const EVENTS: [(FleetEvent, f64); 11] = [
     (FleetEvent::Drain, 0.2),
     (FleetEvent::Remove, 0.15),
     (FleetEvent::Add, 0.2),
     (FleetEvent::ChangeElsewhere, 1.0),
+    (FleetEvent::Configure, 0.4),
     (FleetEvent::Restart, 0.15),
     (FleetEvent::Cut, 0.1),
     (FleetEvent::DeadConnection, 0.15),
@@ -51,6 +53,9 @@
     (FleetEvent::Gap, 0.04),
 ];
 
+/// Key of the row that each configuration replaces.
+const CONFIGURATION: &str = "configuration";
+
 /// A schedule that is being played.
 struct Schedule {
     fleet: ReplicaFleet,
@@ -59,6 +64,8 @@
     next_target: u32,
     /// When targets left, by name.
     left: BTreeMap<String, MonoTime>,
+    /// When configurations were written, by revision.
+    configured: BTreeMap<u64, MonoTime>,
     /// Until when each instance is cut off from the store.
     cut_until: Vec<MonoTime>,
     outage_until: MonoTime,
@@ -86,6 +93,7 @@
             targets,
             next_target: 8,
             left: BTreeMap::new(),
+            configured: BTreeMap::new(),
             cut_until: vec![MonoTime::ZERO; size],
             outage_until: MonoTime::ZERO,
             gap: None,
@@ -117,6 +125,10 @@
                 self.fleet.store.write(&target, Some(b"ready"));
                 self.targets.push(target);
             }
+            FleetEvent::Configure => {
+                let revision = self.fleet.store.write(CONFIGURATION, Some(b"ready"));
+                self.configured.insert(revision, now);
+            }
             FleetEvent::ChangeElsewhere => self.fleet.store.write_elsewhere(),
             FleetEvent::Restart => {
                 self.fleet.restart(node);
@@ -222,29 +234,50 @@
         )
     }
 
-    /// Checks that no instance uses a target whose leaving it must know.
+    /// Whether an instance must know of a change that was written at that time.
+    fn must_know(&self, number: usize, written: MonoTime) -> bool {
+        let now = self.fleet.now;
+        // Bounds hold from the contact time after a disturbance of the store.
+        let disturbed = self.disturbed.max(self.fleet.history_missed);
+        let late = now.since((disturbed + CONTACT_TIME).max(written));
+        // Somebody must have been able to know: the instance itself or one that it hears.
+        let heard = self.followed_since.is_some_and(|since| since <= written)
+            || self.is_undisturbed(number, written) && self.unheard[number] <= written;
+        // An instance that was cut off itself may keep a target for the grace period.
+        let limit = match self.is_undisturbed(number, now) {
+            true => DRAIN_LIMIT - MARGIN,
+            false => DRAIN_LIMIT,
+        };
+        late > limit && heard
+    }
+
+    /// Checks that no instance uses a target whose leaving it must know, or a configuration that is older than
+    /// the one that it must know.
     fn check(&self) {
         let now = self.fleet.now;
-        for (target, left) in &self.left {
-            // Bounds hold from the contact time after a disturbance of the store.
-            let bound_since =
-                (self.disturbed.max(self.fleet.history_missed) + CONTACT_TIME).max(*left);
-            for (number, node) in self.fleet.nodes.iter().enumerate() {
-                // Somebody must have been able to know: the instance itself or one that it hears.
-                let heard = self.followed_since.is_some_and(|since| since <= *left)
-                    || self.is_undisturbed(number, *left) && self.unheard[number] <= *left;
-                let late = now.since(bound_since);
-                // An instance that was cut off itself may keep a target for the grace period.
-                let limit = match self.is_undisturbed(number, now) {
-                    true => DRAIN_LIMIT - MARGIN,
-                    false => DRAIN_LIMIT,
-                };
+        for (number, node) in self.fleet.nodes.iter().enumerate() {
+            for (target, left) in &self.left {
                 assert!(
-                    late <= limit || !heard || !node.uses(target),
-                    "instance {number} uses {target} {late:?} after it left, at {now:?}: {}",
+                    !node.uses(target) || !self.must_know(number, *left),
+                    "instance {number} uses {target} {:?} after it left, at {now:?}: {}",
+                    now.since(*left),
                     self.describe(number, target)
                 );
             }
+            let in_force = node.replica.mirror().row_revision(CONFIGURATION);
+            // Without any table an instance refuses requests, and is not ready.
+            if !node.replica.mirror().is_filled() {
+                continue;
+            }
+            for (revision, written) in self.configured.range(in_force + 1..) {
+                assert!(
+                    !self.must_know(number, *written),
+                    "instance {number} has configuration {in_force}, and {revision} is there since {:?}, at \
+                     {now:?}: {}",
+                    now.since(*written),
+                    self.describe(number, CONFIGURATION)
+                );
+            }
         }
     }
 }
--- a/kwg-gate/tests/stale_readings.rs
+++ b/kwg-gate/tests/stale_readings.rs
@@ -83,7 +83,7 @@
  {
     for target in ["t1", "t2", "t3"] {
         let mut fleet = ReplicaFleet::new(3, &["t1", "t2", "t3"], 1);
-        // Polls of 4 s end within the gap.
+        // Polls end within the gap.
         fleet.run(39 * SECOND / 10);
         fleet.store.freeze_reads();
         fleet.store.is_deaf = true;
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -17,8 +17,10 @@
 pub const TICK: Duration = Duration::from_millis(10);
 /// Interval of digests, and of the check for targets that are no longer held.
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
-/// Time limit for a reply of the store, beyond the requested wait of a long poll.
+/// Time limit for a reply of the store.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit for the reply to a long poll, beyond the requested wait.
+const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after which the kernel closes a connection whose probes are not answered.
 const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time of a message between two instances, or between an instance and the store.
@@ -83,7 +85,7 @@
         Self {
             replica: TableReplica::default(),
             registry: TargetRegistry::default(),
-            feed: Some(FeedState::Waiting(StoreFeed::new())),
+            feed: Some(FeedState::Waiting(StoreFeed::with_grace())),
             is_cut: false,
             pulls: 0,
             copies: 0,
@@ -385,11 +387,11 @@
             FeedState::Pausing(pausing) => FeedState::Pausing(pausing),
             FeedState::Calling(calling, mut call) => {
                 let age = now.since(call.sent);
-                let (wait, is_due) = match calling.call() {
-                    FeedCall::Read | FeedCall::Check { .. } => (Duration::ZERO, age >= TRANSIT),
+                let (limit, is_due) = match calling.call() {
+                    FeedCall::Read | FeedCall::Check { .. } => (CALL_LIMIT, age >= TRANSIT),
                     FeedCall::Follow { wait } => {
                         let has_changes = !store.changes_after(call.after).is_empty();
-                        (wait, age >= TRANSIT && (has_changes || age >= wait))
+                        (wait + FOLLOW_LIMIT, age >= TRANSIT && (has_changes || age >= wait))
                     }
                 };
                 call.is_lost |= store.is_silent && is_due;
@@ -404,7 +406,7 @@
                     }
                 } else if call.dead_since.is_some_and(|at| now.since(at) >= PROBED_LIMIT) {
                     node.fail(calling, CallFailure::Broken, now, draw)
-                } else if age >= wait + CALL_LIMIT {
+                } else if age >= limit {
                     node.fail(calling, CallFailure::Unanswered, now, draw)
                 } else {
                     FeedState::Calling(calling, call)
--- a/kwg-gate/tests/table_replicas.rs
+++ b/kwg-gate/tests/table_replicas.rs
@@ -134,3 +134,21 @@
     fleet.run(KNOWN_LIMIT);
     assert!(fleet.nodes.iter().all(|node| !node.uses("t3")));
 }
+
+#[test]
+fn a_grace_period_after_an_outage_that_was_noticed_late_keeps_no_target_beyond_the_limit() {
+    // Polls end, or something changes, at any moment of the outage, so that replies are lost.
+    for lead in 0..30 {
+        let mut fleet = fleet(9);
+        fleet.run(lead * SECOND / 10);
+        fleet.store.is_silent = true;
+        fleet.store.write("t4", Some(b"ready"));
+        fleet.run(SECOND / 2);
+        fleet.store.is_silent = false;
+        fleet.run(CONTACT_TIME);
+        fleet.store.write("t3", None);
+        fleet.run(KNOWN_LIMIT);
+        let uses = fleet.nodes.iter().any(|node| node.uses("t3"));
+        assert!(!uses, "{lead}: at {:?}", fleet.now);
+    }
+}
--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -10,8 +10,10 @@
 use super::instance_directory::InstanceDirectory;
 use super::store_link::StoreLink;
 
-/// Time limit for a reply, beyond the requested wait of a long poll.
+/// Time limit for a reply.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit for the reply to a long poll, beyond the requested wait.
+const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Makes the calls with which one of the store's tables is followed.
 #[derive(Debug)]
@@ -81,7 +83,7 @@
         wait: Duration,
     ) -> Result<StoreReading, FeedError> {
         let request = StoreCodec::encode_feed(store_table(self.table), after, wait);
-        self.call(&request, wait + CALL_LIMIT).await
+        self.call(&request, wait + FOLLOW_LIMIT).await
     }
 
     /// The revision of this instance's row as the store's reads show it, or 0.
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -43,7 +43,10 @@
 
     /// Reads the table, then follows its changes forever.
     pub(crate) async fn run(mut self) {
-        let mut feed = StoreFeed::new();
+        let mut feed = match self.table {
+            SharedTable::Orders => StoreFeed::new(),
+            SharedTable::Targets => StoreFeed::with_grace(),
+        };
         loop {
             if self.state.is_filled(self.table) {
                 self.wait_store_reader().await;
