fix(kwg-gate): answers that targets owe when they leave the registry count for their version

Cause: an attempt's version was looked up by its target when it ended, and the target was gone by then. The tracker remembers the last 128 targets that have left; both versions' answers count so. Ruled out: keeping the version in each attempt (four callers would pass it on).

--- a/kwg-gate/src/gate_core/version_moves.rs
+++ b/kwg-gate/src/gate_core/version_moves.rs
@@ -81,7 +81,7 @@
         match evidence {
             AttemptEvidence::Declined | AttemptEvidence::Withdrawn => {}
             AttemptEvidence::NotSent => {
-                let Some(entry) = self.targets.entry(target) else { return };
+                let Some(entry) = self.targets.last_entry(target) else { return };
                 self.unreached.record(UnreachedAttempt {
                     at: now,
                     service: entry.service.clone(),
@@ -108,7 +108,8 @@
         if self.clock.was_suspended_since(arrived) {
             return;
         }
-        if let Some(entry) = self.targets.entry(target) {
+        // An answer that a target owes when it vanishes counts as well.
+        if let Some(entry) = self.targets.last_entry(target) {
             self.moves.record_answer(entry.service.as_str(), &entry.version, route, outcome);
         }
     }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,7 +1,7 @@
 mod target_words;
 mod version_targets;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use kwg_model::MonoTime;
@@ -22,6 +22,9 @@
 /// The same for a target at which it owns no idle slot: about the cost of a few more slots in use.
 const BORROWED_JITTER: f64 = 0.15;
 
+/// Largest number of targets that are remembered after they have left the registry.
+const MAX_DEPARTED: usize = 128;
+
 /// Pseudorandom numbers in [0, 1) derived from a first one, so that a decision stays a function of
 /// its inputs.
 struct DrawSequence(f64);
@@ -46,6 +49,8 @@
     targets: SlotMap<TargetKey, TargetState>,
     ids: HashMap<TargetId, TargetKey>,
     codes: HashMap<TargetCode, TargetKey>,
+    /// The last targets that have left the registry; attempts at them may still be open.
+    departed: VecDeque<(TargetKey, TargetEntry)>,
 }
 
 impl TargetTracker {
@@ -69,7 +74,7 @@
                     let key = self.targets.insert(TargetState::new(entry.clone()));
                     self.codes.insert(TargetCode::of(entry.id.as_str()), key);
                     if let Some(before) = self.ids.insert(entry.id.clone(), key) {
-                        self.targets.remove(before);
+                        self.remove(before);
                     }
                 }
             }
@@ -81,15 +86,30 @@
             .map(|(key, _)| key)
             .collect();
         for key in &removed {
-            if let Some(state) = self.targets.remove(*key) {
-                self.ids.remove(&state.entry.id);
-                self.codes.remove(&TargetCode::of(state.entry.id.as_str()));
+            if let Some(entry) = self.remove(*key) {
+                self.ids.remove(&entry.id);
+                self.codes.remove(&TargetCode::of(entry.id.as_str()));
             }
         }
         self.allocate_slots();
         removed
     }
 
+    fn remove(&mut self, key: TargetKey) -> Option<TargetEntry> {
+        let TargetState { entry, .. } = self.targets.remove(key)?;
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.departed.push_back((key, entry.clone()));
+        Some(entry)
+    }
+
+    /// The entry of a target that is known, or has been until lately.
+    pub(crate) fn last_entry(&self, key: TargetKey) -> Option<&TargetEntry> {
+        let departed = || self.departed.iter().find(|(departed, _)| *departed == key);
+        self.entry(key).or_else(|| departed().map(|(_, entry)| entry))
+    }
+
     /// All targets.
     pub(crate) fn keys(&self) -> impl Iterator<Item = TargetKey> {
         self.targets.keys()
