fix(kwg-gateway): instances that start while the store's reads are stale find each other

Found by asking the tables of moves and instances the question of the stale readings. Two instances that are new and start while reads are stale read rows that lack the other; in a small fleet nobody reads them again, and peers do not tell of third ones. Rows that lack the own one are read again after 3 s. Shown by an_instance_whose_reading_lacks_its_own_row_reads_again, red with the condition taken out. The fleet's authority, written just before, may be missing as well: a second conflict in a row ends the attempt to join, which is repeated after its pause, instead of calling the store again at once. Status rows of moves are written under a condition, which a stale reading fails: nothing to change there.

--- a/kwg-gateway/src/control/instance_directory.rs
+++ b/kwg-gateway/src/control/instance_directory.rs
@@ -101,6 +101,7 @@
             unchanged: None,
         };
         self.write(&write).await?;
+        let mut has_conflict = false;
         loop {
             let rows = self.read().await?;
             let row = |key: &str| rows.iter().find(|row| row.key == key);
@@ -119,7 +120,12 @@
                 expected: Some(row(AUTHORITY_KEY).map_or(0, |row| row.revision)),
                 unchanged: None,
             };
-            self.write(&write).await?;
+            if let WriteReply::Conflict(_) = self.write(&write).await? {
+                if has_conflict {
+                    return Err("the authority's row is not readable yet".to_owned());
+                }
+                has_conflict = true;
+            }
         }
     }
 
--- a/kwg-gateway/src/control/peer_handler.rs
+++ b/kwg-gateway/src/control/peer_handler.rs
@@ -25,6 +25,8 @@
 
 /// Delay after the start before the instance rows are read again.
 const FIRST_REFRESH: Duration = Duration::from_millis(1_500);
+/// Delay before the rows are read again that lack the own one: the store's reads are stale.
+const RETRY_REFRESH: Duration = Duration::from_millis(3_000);
 /// How often the domain relay reads the instance rows.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -241,7 +243,8 @@
 }
 
 /// Reads the instance rows again: once soon after the start, when instances started at the same
-/// time have written theirs, and then periodically while this instance is the domain relay.
+/// time have written theirs, and then periodically while this instance is the domain relay or what it reads is
+/// older than its own row.
 async fn refresh_instances(
     state: Rc<ControlState>,
     mut directory: InstanceDirectory,
@@ -249,14 +252,25 @@
 ) {
     state.clock.sleep(FIRST_REFRESH).await;
     loop {
-        if let Some(peers) = directory.refresh().await
+        let peers = directory.refresh().await;
+        let own = state.settings.name.as_str();
+        let has_own = peers.as_ref().is_some_and(|peers| peers.iter().any(|row| row.name == own));
+        if let Some(peers) = peers
             && found.send(peers).await.is_err()
         {
             return;
         }
+        if !has_own && !state.has_left() {
+            state.clock.sleep(RETRY_REFRESH).await;
+            continue;
+        }
         state.clock.sleep(REFRESH_INTERVAL).await;
         while !state.is_relay() {
             state.clock.sleep(REFRESH_INTERVAL).await;
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/peer_handler.rs"]
+mod tests;
