--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kwg_gate::StandingSource;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -18,6 +19,12 @@
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StandingLabel {
+    name: String,
+    source: String,
+}
+
 /// The metrics of a gateway.
 #[derive(Clone)]
 pub(crate) struct GatewayMetrics {
@@ -26,7 +33,7 @@
     refusals: Family<NameLabel, Counter>,
     dropped: Family<NameLabel, Counter>,
     store_calls: Family<NameLabel, Counter>,
-    standings: Family<NameLabel, Counter>,
+    standings: Family<StandingLabel, Counter>,
     doubtful: Gauge,
     connects: Counter,
     answer_seconds: Histogram,
@@ -47,7 +54,7 @@
         registry.register("refusals", "Requests without an answer, by reason", refusals.clone());
         registry.register("dropped", "What was dropped for want of room", dropped.clone());
         registry.register("store_calls", "Calls to the store, by outcome", store_calls.clone());
-        let help = "Changes of what targets say of themselves, by state";
+        let help = "Changes of what targets say of themselves, by state and who said it";
         registry.register("target_standings", help, standings.clone());
         let help =
             "Targets that are said to leave, but that the store has listed as ready for 30 s since";
@@ -88,8 +95,9 @@
         self.store_calls.get_or_create(&label(outcome)).inc();
     }
 
-    pub(crate) fn record_standing(&self, state: &str) {
-        self.standings.get_or_create(&label(state)).inc();
+    pub(crate) fn record_standing(&self, state: &str, source: StandingSource) {
+        let (name, source) = (state.to_owned(), source.as_str().to_owned());
+        self.standings.get_or_create(&StandingLabel { name, source }).inc();
     }
 
     /// Sets the number of targets that may be wrong about leaving.
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -3,7 +3,7 @@
 
 use kwg_adapter::TargetCodec;
 use kwg_clock::ClockHandle;
-use kwg_gate::{CallerLimits, GateCore, LONGEST_PAUSE, StandingState, TargetKey};
+use kwg_gate::{CallerLimits, GateCore, LONGEST_PAUSE, StandingSource, StandingState, TargetKey};
 use kwg_h1::ReplyHead;
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
@@ -92,7 +92,11 @@
                 StandingState::Leaving { source, .. } => line.field("source", source.as_str()),
             };
             log::info!("{line}");
-            self.metrics.record_standing(state.as_str());
+            let source = match state {
+                StandingState::Leaving { source, .. } => source,
+                _ => StandingSource::Target,
+            };
+            self.metrics.record_standing(state.as_str(), source);
         }
     }
 
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
 use kwg_clock::ClockHandle;
-use kwg_gate::{GateCore, MoveDecision, MovePhase, ServiceName};
+use kwg_gate::{GateCore, MoveDecision, MovePhase, ServiceName, StandingSource};
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use rand::random;
@@ -116,7 +116,7 @@
                 let name = core.targets().entry(target).map_or("gone", |entry| entry.id.as_str());
                 let line = EventLine::new("target-standing").field("target", name);
                 log::info!("{}", line.field("state", "leaving").field("source", &peer));
-                state.metrics.record_standing("leaving");
+                state.metrics.record_standing("leaving", StandingSource::Peer);
             }
             drop(core);
             wake_waiting(state);
