--- a/kwg-gate/src/replica/check_plan.rs
+++ b/kwg-gate/src/replica/check_plan.rs
@@ -5,8 +5,7 @@
 /// Times after its reason at which a table is checked.
 const FIRST_CHECKS: [Duration; 3] =
     [Duration::from_millis(700), Duration::from_millis(2_000), Duration::from_millis(5_000)];
-/// Interval of the checks after these. Together with a call it is shorter than the time for which the limits do
-/// not hold after a disturbance of the store.
+/// Interval of the checks after these. A change must be known 6 s after the end of a disturbance of the store.
 const LATER_INTERVAL: Duration = Duration::from_secs(5);
 
 /// When a table is read again to check what is known of it. The store's reads may be stale for seconds, at a
--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -32,8 +32,9 @@
 /// let calling = StoreFeed::new().begin(start);
 /// assert_eq!(calling.call(), FeedCall::Read);
 /// let (feed, _) = calling.answered(&witness, start);
-/// let calling = feed.begin(start);
-/// assert!(matches!(calling.call(), FeedCall::Follow { .. }));
+/// // The reading reported the revision 9, and may be older than that.
+/// let calling = feed.plan_checks(9, start).begin(start);
+/// assert_eq!(calling.call(), FeedCall::Follow { wait: Duration::from_millis(700) });
 /// let pausing = calling.failed(CallFailure::Broken, &witness, start, 0.5);
 /// assert_eq!(pausing.until(), start + Duration::from_millis(150));
 /// ```
