--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -5,24 +5,19 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallFailure, Calling, FeedCall, Pausing, PeerRuns, PullReply, ReadPurpose, ServiceName,
-    StoreFeed, StoreRow, StoreWitness, TableReading, TableReplica, TargetEntry, TargetId,
-    TargetRegistry, Waiting,
+    CallFailure, Calling, FeedCall, Pausing, PeerRuns, PullReply, ReadPurpose, StoreFeed, StoreRow,
+    StoreWitness, TableReading, TableReplica, TargetId, TargetRegistry, Waiting,
 };
 use kwg_model::MonoTime;
 
-use crate::store_model::{SeededDraws, StoreModel};
+use crate::store_model::{
+    CALL_LIMIT, FOLLOW_LIMIT, PROBED_LIMIT, SeededDraws, StoreModel, target_entry,
+};
 
 /// Step of the virtual time.
 pub const TICK: Duration = Duration::from_millis(10);
 /// Interval of digests, and of the check for targets that are no longer held.
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
-/// Time limit for a reply of the store.
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time limit for the reply to a long poll, beyond the requested wait.
-const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
-/// Time after which the kernel closes a connection whose probes are not answered.
-const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time of a message between two instances, or between an instance and the store.
 const TRANSIT: Duration = Duration::from_millis(10);
 
@@ -120,7 +115,8 @@
     fn use_rows(&mut self, rows: &[StoreRow], now: MonoTime) {
         for row in rows {
             let id = TargetId::new(&row.key);
-            let entry = row.value.as_deref().map(|value| entry(&row.key, value == b"draining"));
+            let entry =
+                row.value.as_deref().map(|value| target_entry(&row.key, value == b"draining"));
             self.registry.apply(row.revision, &id, entry, now);
         }
     }
@@ -193,20 +189,6 @@
     }
 }
 
-/// An entry of a target.
-pub fn entry(key: &str, is_draining: bool) -> TargetEntry {
-    TargetEntry {
-        id: TargetId::new(key),
-        service: ServiceName::new("llm"),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: "graz".to_owned(),
-        version: "v1".to_owned(),
-        slots: 8,
-        is_draining,
-        born: 1,
-    }
-}
-
 /// The instances, which exchange digests with each other.
 #[derive(Debug)]
 pub struct ReplicaFleet {
--- a/kwg-gate/tests/support/store_model.rs
+++ b/kwg-gate/tests/support/store_model.rs
@@ -2,8 +2,16 @@
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-use kwg_gate::StoreRow;
+use kwg_gate::{ServiceName, StoreRow, TargetEntry, TargetId};
+
+/// Time limit for a reply of the store.
+pub const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit for the reply to a long poll, beyond the requested wait.
+pub const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time after which the kernel closes a connection whose probes are not answered.
+pub const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// A number in [0, 1) for each call, the same in each run.
 #[derive(Debug)]
@@ -115,3 +123,17 @@
         self.changes.iter().filter(|row| row.revision > after).cloned().collect()
     }
 }
+
+/// An entry of a target.
+pub fn target_entry(key: &str, is_draining: bool) -> TargetEntry {
+    TargetEntry {
+        id: TargetId::new(key),
+        service: ServiceName::new("llm"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "graz".to_owned(),
+        version: "v1".to_owned(),
+        slots: 8,
+        is_draining,
+        born: 1,
+    }
+}
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use kwg_adapter::{ConfigDecoder, EntryDecoder, OrderCodec};
+use kwg_adapter::{ConfigDecoder, OrderCodec};
 use kwg_clock::ClockHandle;
 use kwg_gate::{
     AppliedChanges, MoveDecision, MoveReport, PullReply, ReadPurpose, RowChanges, StoreRow,
-    StoreWitness, TableCopy, TableMirror, TableReading, TableReplica, TargetEntry, TargetId,
-    TargetRegistry,
+    StoreWitness, TableCopy, TableMirror, TableReading, TableReplica, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
@@ -16,6 +15,7 @@
 use kwg_wire::SharedTable;
 
 use super::move_handler::MoveTask;
+use super::target_log::{decode_entry, log_if_held, log_target};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_pipes::TrafficInput;
 
@@ -380,38 +380,3 @@
         SharedTable::Targets => "targets",
     }
 }
-
-/// Decodes a target entry. An unreadable entry is logged and skipped, so that it does not affect
-/// the other targets.
-fn decode_entry(key: &str, value: &[u8]) -> Option<TargetEntry> {
-    match EntryDecoder::decode(key, value) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            let line = EventLine::new("entry-unreadable").field("key", key).field("error", error);
-            log::warn!("{line}");
-            None
-        }
-    }
-}
-
-fn log_target(id: &TargetId, entry: Option<&TargetEntry>, revision: u64, source: &str) {
-    let line = EventLine::new("target-changed").field("target", id).field("revision", revision);
-    let line = line.field("source", source);
-    let line = match entry {
-        Some(entry) => line
-            .field("service", &entry.service)
-            .field("address", entry.address)
-            .field("version", &entry.version)
-            .field("draining", entry.is_draining),
-        None => line.field("gone", true),
-    };
-    log::info!("{line}");
-}
-
-/// Logs that a target is still used although its entry is gone.
-fn log_if_held(registry: &TargetRegistry, id: &TargetId, now: MonoTime) {
-    if let Some(until) = registry.held_until(id) {
-        let line = EventLine::new("target-held").field("target", id);
-        log::info!("{}", line.field("for_ms", until.since(now).as_millis()));
-    }
-}
--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -13,5 +13,6 @@
 mod store_link;
 mod store_reader;
 mod table_feed;
+mod target_log;
 
 pub(crate) use control_thread::ControlThread;
--- a/kwg-gateway/src/control/peer_handler.rs
+++ b/kwg-gateway/src/control/peer_handler.rs
@@ -25,7 +25,7 @@
 
 /// Delay after the start before the instance rows are read again.
 const FIRST_REFRESH: Duration = Duration::from_millis(1_500);
-/// Delay before the rows are read again that lack the own one: the store's reads are stale.
+/// Delay before the rows are read again if they lack this instance's own row, since the store's reads are stale.
 const RETRY_REFRESH: Duration = Duration::from_millis(3_000);
 /// How often the domain relay reads the instance rows.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
@@ -243,8 +243,8 @@
 }
 
 /// Reads the instance rows again: once soon after the start, when instances started at the same
-/// time have written theirs, and then periodically while this instance is the domain relay or what it reads is
-/// older than its own row.
+/// time have written theirs, and then periodically while this instance is the domain relay. Rows that are older
+/// than this instance's own are read again soon.
 async fn refresh_instances(
     state: Rc<ControlState>,
     mut directory: InstanceDirectory,
