--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -4,10 +4,12 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use async_channel::{bounded, unbounded};
+use async_channel::{Receiver, bounded, unbounded};
 use async_io::{Timer, block_on};
 use futures_lite::FutureExt;
 use kwg_clock::{ClockHandle, ManualClock};
@@ -15,7 +17,7 @@
 use kwg_wire::SharedTable;
 
 use super::TableFeed;
-use crate::control::control_state::{ControlPipes, ControlState};
+use crate::control::control_state::{ControlPipes, ControlState, TableChanges};
 use crate::gateway_metrics::GatewayMetrics;
 
 /// Real time after which the script counts as not played.
@@ -72,7 +74,12 @@
 
 /// A store that plays the script and then answers nothing, but for calls about the instance's own row. The
 /// receiver closes when it is played.
-fn store(script: Vec<StoreAct>, own_row: u64) -> (SocketAddr, async_channel::Receiver<()>) {
+fn store(
+    script: Vec<StoreAct>,
+    own_rows: &[u64],
+    writes: &Arc<AtomicUsize>,
+) -> (SocketAddr, Receiver<()>) {
+    let (mut own_rows, writes) = (own_rows.to_vec(), Arc::clone(writes));
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
     let (playing, played) = bounded(1);
@@ -83,7 +90,12 @@
             let mut request = [0; 4_096];
             while let Ok(length @ 1..) = stream.read(&mut request) {
                 let text = String::from_utf8_lossy(&request[..length]);
-                if let Some(reply) = own_row_reply(&text, own_row) {
+                if let Some(reply) = own_row_reply(&text, own_rows[0]) {
+                    if text.starts_with("POST") {
+                        writes.fetch_add(1, Ordering::Relaxed);
+                    } else if own_rows.len() > 1 {
+                        own_rows.remove(0);
+                    }
                     send(&mut stream, &reply);
                     continue;
                 }
@@ -115,10 +127,25 @@
     (address, played)
 }
 
-/// Follows a store that plays the script, each wait of `step` at once. The store shows the instance's own row
-/// at the revision `own_row`.
+/// What has come of a script.
+struct Played {
+    state: Rc<ControlState>,
+    /// What was queued for forwarding to peers.
+    changes: Receiver<TableChanges>,
+    /// Number of writes of the instance's own row.
+    writes: usize,
+}
+
+/// As [`play`], by an instance that has not left.
 fn state_after(script: Vec<StoreAct>, own_row: u64, step: Duration) -> Rc<ControlState> {
-    let (store, played) = store(script, own_row);
+    play(script, &[own_row], step, false).state
+}
+
+/// Follows a store that plays the script, each wait of `step` at once. The store shows the instance's own row
+/// at one of `own_rows` after the other, and then at the last one.
+fn play(script: Vec<StoreAct>, own_rows: &[u64], step: Duration, has_left: bool) -> Played {
+    let writes = Arc::new(AtomicUsize::new(0));
+    let (store, played) = store(script, own_rows, &writes);
     let text = format!(
         "[gateway]\nname = a-1\ndomain = a\nfront = 127.0.0.1:1\nready = 127.0.0.1:2\n\
          metrics = 127.0.0.1:3\npeer = 127.0.0.1:4\nstore = {store}\ngrace_s = 9\n[domains]\na = r\n"
@@ -131,6 +158,9 @@
     let handle = ClockHandle::manual(&clock);
     let state = Rc::new(ControlState::new(settings, 1, handle, GatewayMetrics::new(), pipes));
     state.set_store_reader(true);
+    if has_left {
+        state.leave();
+    }
     let (_waker, woken) = bounded(1);
     let following = async {
         TableFeed::new(&state, SharedTable::Targets, woken).run().await;
@@ -149,8 +179,8 @@
         false
     };
     assert!(block_on(following.or(playing).or(patience)), "the script is not played");
-    drop((inputs, changed, tasks));
-    state
+    drop((inputs, tasks));
+    Played { state, changes: changed, writes: writes.load(Ordering::Relaxed) }
 }
 
 fn targets(state: &ControlState) -> Vec<String> {
@@ -180,27 +210,62 @@
     assert_eq!(state.revision(SharedTable::Targets), 12);
 }
 
-/// A reading, a check of it that lacks t1, and another one.
-fn checked_state(own_row: u64) -> Rc<ControlState> {
-    let StoreAct::Answer(later) = rows(&[ready_row("t2", 4)], 30, false) else { unreachable!() };
+/// A reading, and a check of it that lacks t1.
+fn play_check(own_rows: &[u64], has_left: bool) -> Played {
     let script = vec![
         rows(&[ready_row("t1", 5), ready_row("t2", 4)], 20, false),
-        StoreAct::Table(later),
+        table(&[ready_row("t2", 4)], 30),
         StoreAct::Changes(Vec::new()),
     ];
-    state_after(script, own_row, Duration::from_millis(300))
+    play(script, own_rows, Duration::from_millis(300), has_left)
+}
+
+fn table(entries: &[String], revision: u64) -> StoreAct {
+    let StoreAct::Answer(body) = rows(entries, revision, false) else { unreachable!() };
+    StoreAct::Table(body)
 }
 
 #[test]
 fn a_check_is_proved_by_a_later_row_of_the_instance_itself() {
-    let state = checked_state(25);
+    let Played { state, changes, writes } = play_check(&[25], false);
     assert_eq!(targets(&state), ["t2"], "t1 has been removed");
     assert_eq!(state.covered_revision(SharedTable::Targets), 25);
+    assert_eq!(writes, 0, "the row is late enough");
+    let found = changes.try_recv().expect("peers that do not read the store are told").changes;
+    let keys: Vec<&str> = found.rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!((keys, found.base, found.revision), (vec!["t1"], 0, 0));
 }
 
 #[test]
 fn a_check_that_may_be_stale_removes_no_later_target() {
-    let state = checked_state(15);
+    let Played { state, writes, .. } = play_check(&[15], false);
     assert_eq!(targets(&state), ["t1", "t2"]);
     assert_eq!(state.covered_revision(SharedTable::Targets), 5);
+    assert!(writes > 0, "the row has to be later than the first reading");
+}
+
+#[test]
+fn a_check_after_which_the_own_row_is_an_earlier_one_removes_no_target() {
+    let Played { state, .. } = play_check(&[25, 15], false);
+    assert_eq!(targets(&state), ["t1", "t2"]);
+}
+
+#[test]
+fn an_instance_that_has_left_does_not_write_its_row_again() {
+    let Played { writes, .. } = play_check(&[0], true);
+    assert_eq!(writes, 0);
+}
+
+#[test]
+fn a_table_is_checked_after_its_feed_broke_off() {
+    let both = [ready_row("t1", 5), ready_row("t2", 4)];
+    let script = vec![
+        rows(&both, 20, false),
+        table(&both, 30),
+        StoreAct::Close,
+        table(&[ready_row("t2", 4)], 60),
+        StoreAct::Changes(Vec::new()),
+    ];
+    let Played { state, .. } = play(script, &[25, 25, 40], Duration::from_millis(300), false);
+    assert_eq!(targets(&state), ["t2"], "the feed had not told that t1 was removed");
 }
