feat(kwg-gateway): log the shared parts of a prompt and whether an attempt's answer had begun

The logs could not tell whether ends of targets have a part of a prompt in common, nor which requests had begun their answers. No decision uses them yet.

--- a/kwg-bench/src/overload/overload_replay.rs
+++ b/kwg-bench/src/overload/overload_replay.rs
@@ -165,6 +165,7 @@
             host: "h".to_owned(),
             path: format!("/{}/", class.name),
             key: None,
+            parts: Vec::new(),
             tokens: class.is_generation().then_some(state.tokens),
             arrived: now,
             deadline: MonoTime::from_millis(state.deadline_ms),
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod replica;
 mod session;
+mod stable_hash;
 mod table;
 mod target;
 mod text_key;
@@ -47,8 +48,9 @@
 };
 pub use session::{
     Admitted, AttemptEvidence, AttemptPermit, AttemptVerdict, Dispatched, FinalOutcome,
-    GateSession, HandingOver, OpenAttempt, Placed, PlacementOutcome, Received, RefusalReason,
-    RequestDetails, ReservedTarget, SessionStep, SharedAttempt, TokenCount, UnknownReason,
+    GateSession, HandingOver, OpenAttempt, Placed, PlacementOutcome, PromptPart, Received,
+    RefusalReason, RequestDetails, ReservedTarget, SessionStep, SharedAttempt, TokenCount,
+    UnknownReason,
 };
 pub use table::{
     AccountRule, CallerLimits, EngineRule, QuotaRule, RequestKind, RouteMatch, RoutePool,
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -41,6 +41,8 @@
     plan: Box<RoutePlan>,
     open: OpenAttempt,
     placement: Placement,
+    /// Whether the target has sent an event of its answer.
+    has_begun: bool,
 }
 
 /// State: the request has been sent to a silent target and then to a second one. It goes on at the
@@ -50,6 +52,8 @@
     plan: Box<RoutePlan>,
     shared: SharedAttempt,
     first: Placement,
+    /// Whether the first target has sent an event of its answer.
+    has_begun: bool,
     second: Placement,
 }
 
@@ -134,7 +138,7 @@
     #[must_use]
     pub fn dispatch(self) -> GateSession<Dispatched> {
         let Placed { plan, permit, placement } = self.state;
-        let state = Dispatched { plan, open: permit.start(), placement };
+        let state = Dispatched { plan, open: permit.start(), placement, has_begun: false };
         GateSession { details: self.details, state }
     }
 }
@@ -146,6 +150,17 @@
         &self.state.placement
     }
 
+    /// Notes that the target has sent an event of its answer.
+    pub fn mark_begun(&mut self) {
+        self.state.has_begun = true;
+    }
+
+    /// Whether the target has sent an event of its answer.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.state.has_begun
+    }
+
     /// Whether the request may still be sent to a target, asked last before its first byte is written: while the
     /// connection was opened, the target may have been found to leave or pause, and other targets may have ended under
     /// the request.
@@ -158,7 +173,7 @@
     /// may have run it. The caller counts the slot as taken until the reservation ends.
     #[must_use]
     pub fn reserve(&self, core: &GateCore, draw: f64, now: MonoTime) -> Option<ReservedTarget> {
-        let Dispatched { plan, open, placement } = &self.state;
+        let Dispatched { plan, open, placement, .. } = &self.state;
         let second = match open.may_run_again() {
             true => {
                 let excluded = core.excluded(plan, Some(placement.target), open.is_return_next());
@@ -185,13 +200,16 @@
         reserved: ReservedTarget,
         now: MonoTime,
     ) -> Result<GateSession<HandingOver>, Self> {
-        let Self { details, state: Dispatched { plan, open, placement } } = self;
+        let Self { details, state: Dispatched { plan, open, placement, has_begun } } = self;
         let shared = match open.share(|| core.take_second_run(&details, &plan, now)) {
             Ok(shared) => shared,
-            Err(open) => return Err(Self { details, state: Dispatched { plan, open, placement } }),
+            Err(open) => {
+                let state = Dispatched { plan, open, placement, has_begun };
+                return Err(Self { details, state });
+            }
         };
         let second = reserved.into_placement();
-        let state = HandingOver { plan, shared, first: placement, second };
+        let state = HandingOver { plan, shared, first: placement, has_begun, second };
         Ok(GateSession { details, state })
     }
 
@@ -202,7 +220,7 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> SessionStep {
-        let Dispatched { mut plan, open, placement } = self.state;
+        let Dispatched { mut plan, open, placement, .. } = self.state;
         core.record_attempt_end(&self.details, &plan, &placement, evidence, now);
         match open.close(evidence) {
             AttemptVerdict::Retry(permit) => {
@@ -243,6 +261,12 @@
         &self.state.first
     }
 
+    /// Whether the first target has sent an event of its answer.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.state.has_begun
+    }
+
     /// The target that may take the request over.
     #[must_use]
     pub fn second(&self) -> &Placement {
@@ -264,7 +288,7 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> GateSession<Dispatched> {
-        let HandingOver { mut plan, shared, first, second } = self.state;
+        let HandingOver { mut plan, shared, first, second, .. } = self.state;
         core.record_attempt_end(&self.details, &plan, &first, evidence, now);
         plan.end_attempt(first.target, evidence, now);
         match evidence {
@@ -272,7 +296,8 @@
             AttemptEvidence::Silent => plan.left = Some(first.target),
             _ => {}
         }
-        let state = Dispatched { plan, open: shared.end_first(evidence), placement: second };
+        let open = shared.end_first(evidence);
+        let state = Dispatched { plan, open, placement: second, has_begun: false };
         GateSession { details: self.details, state }
     }
 
@@ -284,10 +309,11 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> GateSession<Dispatched> {
-        let HandingOver { mut plan, shared, first, second } = self.state;
+        let HandingOver { mut plan, shared, first, has_begun, second } = self.state;
         core.record_attempt_end(&self.details, &plan, &second, evidence, now);
         plan.end_attempt(second.target, evidence, now);
-        let state = Dispatched { plan, open: shared.end_second(evidence), placement: first };
+        let open = shared.end_second(evidence);
+        let state = Dispatched { plan, open, placement: first, has_begun };
         GateSession { details: self.details, state }
     }
 }
--- a/kwg-gate/src/session/mod.rs
+++ b/kwg-gate/src/session/mod.rs
@@ -4,6 +4,7 @@
 mod final_outcome;
 mod gate_session;
 mod placement_step;
+mod prompt_part;
 mod request_details;
 mod reserved_target;
 mod route_plan;
@@ -16,6 +17,7 @@
     Admitted, Dispatched, GateSession, HandingOver, Placed, PlacementOutcome, Received, SessionStep,
 };
 pub(crate) use placement_step::PlacementStep;
+pub use prompt_part::PromptPart;
 pub use request_details::{RequestDetails, TokenCount};
 pub use reserved_target::ReservedTarget;
 pub(crate) use route_plan::RoutePlan;
--- a/kwg-gate/src/session/request_details.rs
+++ b/kwg-gate/src/session/request_details.rs
@@ -1,5 +1,7 @@
 use kwg_model::MonoTime;
 
+use super::PromptPart;
+
 /// Details of a request, decoded from its head; the fingerprint is added once the body has been
 /// read.
 #[derive(Debug, Clone, PartialEq)]
@@ -12,6 +14,8 @@
     pub path: String,
     /// The API key from the `Authorization` field, if there is one.
     pub key: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub parts: Vec<PromptPart>,
     /// Sizes of prompt and answer, if the request states them.
     pub tokens: Option<TokenCount>,
     /// When the first byte arrived.
--- a/kwg-gate/tests/configuration.rs
+++ b/kwg-gate/tests/configuration.rs
@@ -38,6 +38,7 @@
         host: "h".to_owned(),
         path: path.to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: now,
         deadline: now + Duration::from_secs(10),
--- a/kwg-gate/tests/planned_stop.rs
+++ b/kwg-gate/tests/planned_stop.rs
@@ -18,6 +18,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: Some(TokenCount { prompt: 100, output }),
         arrived: now,
         deadline: now + Duration::from_secs(10),
--- a/kwg-gate/tests/silence.rs
+++ b/kwg-gate/tests/silence.rs
@@ -24,6 +24,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: now(),
         deadline: now() + Duration::from_secs(10),
--- a/kwg-gate/tests/support/mod.rs
+++ b/kwg-gate/tests/support/mod.rs
@@ -91,6 +91,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: now,
         deadline: now + Duration::from_secs(10),
--- a/kwg-gate/tests/support/move_fixture.rs
+++ b/kwg-gate/tests/support/move_fixture.rs
@@ -111,6 +111,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: now,
         deadline: now + Duration::from_secs(10),
--- a/kwg-gate/tests/support/poison_fleet.rs
+++ b/kwg-gate/tests/support/poison_fleet.rs
@@ -159,6 +159,7 @@
             host: "h".to_owned(),
             path: route.to_owned(),
             key: None,
+            parts: Vec::new(),
             tokens: None,
             arrived: now,
             deadline: now + DEADLINE,
--- a/kwg-gate/tests/suspects.rs
+++ b/kwg-gate/tests/suspects.rs
@@ -65,6 +65,7 @@
             host: "h".to_owned(),
             path: "/a".to_owned(),
             key: None,
+            parts: Vec::new(),
             tokens: None,
             arrived: self.now,
             deadline: self.now + secs(10),
--- a/kwg-gate/tests/version_draws.rs
+++ b/kwg-gate/tests/version_draws.rs
@@ -18,6 +18,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: at(2_000),
         deadline: at(2_000) + Duration::from_secs(10),
--- a/kwg-gateway/src/traffic/attempt_hand_over.rs
+++ b/kwg-gateway/src/traffic/attempt_hand_over.rs
@@ -9,6 +9,7 @@
 use super::answer_relay::AnswerRelay;
 use super::counted_body::CountedBody;
 use super::event_splitter::EventSplitter;
+use super::suspect_fields::SuspectFields;
 use super::target_exchange::TargetExchange;
 use super::traffic_state::TrafficState;
 
@@ -149,9 +150,9 @@
             .field("kind", self.session.kind().as_str())
             .field("target", entry.map_or("gone", |entry| entry.id.as_str()))
             .field("attempt", self.session.tried().len() + number)
-            .field("total_ms", total.as_millis())
-            .field("fingerprint", format_args!("{:016x}", self.session.details().fingerprint));
-        log::info!("{line}");
+            .field("total_ms", total.as_millis());
+        let has_begun = number == 1 && self.session.has_begun();
+        log::info!("{}", SuspectFields::add(line, self.session.details(), has_begun));
         self.state.metrics.record_attempt(evidence.as_str(), total);
     }
 }
--- a/kwg-gateway/src/traffic/mod.rs
+++ b/kwg-gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod request_pipeline;
 mod request_writer;
 mod stop_signal;
+mod suspect_fields;
 mod suspect_log;
 mod target_attempt;
 mod target_exchange;
--- a/kwg-gateway/src/traffic/request_pipeline.rs
+++ b/kwg-gateway/src/traffic/request_pipeline.rs
@@ -14,6 +14,7 @@
 use super::attempt_report::AttemptReport;
 use super::content_hash::{ContentCaller, ContentHash};
 use super::counted_body::CountedBody;
+use super::suspect_fields::SuspectFields;
 use super::target_attempt::TargetAttempt;
 use super::traffic_state::TrafficState;
 use super::wait_notifier::WaitNotifier;
@@ -186,6 +187,7 @@
             .field("table", version.unwrap_or(0))
             .field("begun", relay.has_begun())
             .field("fingerprint", format_args!("{:016x}", details.fingerprint))
+            .field("parts", SuspectFields::parts(details))
             .field("ends", ends);
         log::info!("{line}");
         self.state.metrics.record_refusal(outcome.as_str());
@@ -226,7 +228,7 @@
                 .field("pace_ms", format_args!("{:.1}", session.pace_ms(sample)))
                 .field("gap_ms", sample.longest_gap.unwrap_or_default().as_millis()),
             // Equal requests of other callers and instances have the same fingerprint.
-            None => line.field("fingerprint", format_args!("{:016x}", details.fingerprint)),
+            None => SuspectFields::add(line, details, session.has_begun()),
         };
         log::info!("{line}");
         self.state.metrics.record_attempt(outcome, now.since(details.arrived));
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -72,7 +72,11 @@
         };
         loop {
             let step = self.read_reply(&session, &mut exchange, relay);
-            let (reserved, link) = match step.or(self.time_out(due)).await {
+            let step = step.or(self.time_out(due)).await;
+            if exchange.has_begun() {
+                session.mark_begun();
+            }
+            let (reserved, link) = match step {
                 Ok(AttemptStep::Ended(report)) => {
                     exchange.finish();
                     return (session, report);
--- a/kwg-gateway/src/traffic/target_exchange.rs
+++ b/kwg-gateway/src/traffic/target_exchange.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Whether an event of the answer has been sent to the caller.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.pace.events > 0
+    }
+
     /// Whether the body of the reply has been decoded to its end.
     pub(crate) fn is_done(&self) -> bool {
         self.reply.as_ref().is_some_and(|reply| reply.decoder.is_done())
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -68,6 +68,7 @@
         host: "h".to_owned(),
         path: "/a".to_owned(),
         key: None,
+        parts: Vec::new(),
         tokens: None,
         arrived: now,
         deadline: now + Duration::from_secs(100),
