--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -123,6 +123,7 @@
     /// Synchronizes the targets with the registry; returns the targets that were removed.
     pub fn set_registry(&mut self, registry: &Arc<TargetRegistry>) -> Vec<TargetKey> {
         self.registry = Arc::clone(registry);
+        self.suspects.set_target_count(registry.entries().count());
         self.targets.sync(registry)
     }
 
@@ -271,7 +272,7 @@
             }
             PlacementDecision::Send(placement) => {
                 if self.renew_retry(plan, now) {
-                    return PlacementStep::Send(self.with_known_ends(details, placement));
+                    return PlacementStep::Send(self.with_known_ends(placement));
                 }
                 FinalOutcome::refused_until(RefusalReason::BudgetSpent, CAPACITY_RETRY)
             }
--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -1,8 +1,8 @@
 use kwg_model::MonoTime;
 
 use super::GateCore;
-use crate::session::RoutePlan;
-use crate::{AnswerOutcome, AttemptEvidence, AttemptSample, Placement, RequestDetails, TargetKey};
+use crate::session::{AttemptEnd, RoutePlan};
+use crate::{AnswerOutcome, AttemptEvidence, AttemptSample, RequestDetails, TargetKey};
 
 impl GateCore {
     /// Records that an attempt has ended without a complete answer.
@@ -10,11 +10,10 @@
         &mut self,
         details: &RequestDetails,
         plan: &RoutePlan,
-        placement: &Placement,
-        evidence: AttemptEvidence,
+        end: AttemptEnd<'_>,
         now: MonoTime,
     ) {
-        let target = placement.target;
+        let (target, evidence) = (end.placement.target, end.evidence);
         // The target was found to leave or pause while it was being connected, or the request is refused by now.
         let is_withheld = !self.targets.is_open(target, now) || self.refuses(details, now);
         if evidence == AttemptEvidence::NotSent && is_withheld {
@@ -26,7 +25,7 @@
             AttemptEvidence::Declined | AttemptEvidence::TimedOut | AttemptEvidence::Withdrawn => {}
             _ => self.targets.record_failure(target, now),
         }
-        self.record_possible_end(details, plan, placement, evidence, now);
+        self.record_possible_end(details, end, now);
         self.count_end_for_move(details, plan, target, evidence, now);
     }
 
--- a/kwg-gate/src/gate_core/second_target.rs
+++ b/kwg-gate/src/gate_core/second_target.rs
@@ -47,7 +47,7 @@
             PlacementDecision::Send(placement) if is_allowed => {
                 let expected = self.targets.cautious_expected(&query, &placement, now);
                 let is_quick = expected < HAND_OVER_TIME;
-                let placement = self.with_known_ends(details, placement);
+                let placement = self.with_known_ends(placement);
                 (is_quick && now + HAND_OVER_TIME < plan.due).then_some(placement)
             }
             _ => None,
--- a/kwg-gate/src/gate_core/suspects.rs
+++ b/kwg-gate/src/gate_core/suspects.rs
@@ -2,10 +2,10 @@
 
 use super::GateCore;
 use crate::poison::SilentRun;
-use crate::session::RoutePlan;
+use crate::session::AttemptEnd;
 use crate::{
     AttemptEvidence, AttemptSample, EndRecord, Placement, RequestDetails, SeenEnd, SuspectEvent,
-    SuspectTracker, TargetKey, TargetRun,
+    SuspectKey, SuspectTracker, SuspectVerdict, TargetKey, TargetRun,
 };
 
 /// Maximum number of silent runs that wait to be confirmed.
@@ -20,23 +20,25 @@
 
     /// Applies records of ends of targets that a peer knows of.
     pub fn apply_ends(&mut self, peer: &str, records: &[EndRecord], now: MonoTime) {
-        records.iter().for_each(|record| self.suspects.apply_record(peer, record, now));
+        self.suspects.apply_records(peer, records, now);
     }
 
     /// Whether a request must not be sent to any target, because targets have ended under it. Each way to a target
     /// asks this: at admission, when a target is chosen, and last before the first byte is written.
     pub(crate) fn refuses(&self, details: &RequestDetails, now: MonoTime) -> bool {
-        self.suspects.is_refused(details.fingerprint, now)
+        self.verdict_on(details, now).is_some()
     }
 
-    /// Notes with a placement which ends of its target under the request are known.
-    pub(super) fn with_known_ends(
-        &self,
-        details: &RequestDetails,
-        placement: Placement,
-    ) -> Placement {
+    /// Why a request must not be sent to any target.
+    #[must_use]
+    pub fn verdict_on(&self, details: &RequestDetails, now: MonoTime) -> Option<&SuspectVerdict> {
+        self.suspects.verdict_on(|key| details.suspects().any(|own| own == key), now)
+    }
+
+    /// Notes with a placement which ends of its target are known.
+    pub(super) fn with_known_ends(&self, placement: Placement) -> Placement {
         let run = self.run_of(placement.target);
-        let known_ends = run.map_or(0, |run| self.suspects.known_ends(details.fingerprint, run));
+        let known_ends = run.map_or(0, |run| self.suspects.known_ends(run));
         Placement { known_ends, ..placement }
     }
 
@@ -44,13 +46,18 @@
     pub(super) fn record_possible_end(
         &mut self,
         details: &RequestDetails,
-        plan: &RoutePlan,
-        placement: &Placement,
-        evidence: AttemptEvidence,
+        end: AttemptEnd<'_>,
         now: MonoTime,
     ) {
+        let AttemptEnd { placement, has_begun, evidence } = end;
         let Some(run) = self.run_of(placement.target) else { return };
-        let end = SeenEnd { run, ordinal: placement.known_ends, sent_after: plan.attempt_ended };
+        let (ordinal, sent_after) = (placement.known_ends, placement.chosen);
+        let end = SeenEnd { run, ordinal, sent_after, has_begun };
+        // What ends its target when an answer begins has not begun one.
+        let parts = if has_begun { &[][..] } else { &details.parts };
+        let suspects: Vec<SuspectKey> = std::iter::once(SuspectKey::Content(details.fingerprint))
+            .chain(parts.iter().map(|part| SuspectKey::Part(*part)))
+            .collect();
         let has_ended = match evidence {
             AttemptEvidence::Cut => true,
             AttemptEvidence::Silent | AttemptEvidence::TimedOut => {
@@ -59,17 +66,19 @@
             _ => return,
         };
         if has_ended {
-            return self.suspects.record_end(details.fingerprint, end, now);
+            return self.suspects.record_end_under(&suspects, end, now);
         }
         if self.silent.len() >= MAX_SILENT {
             self.silent.pop_front();
         }
-        let silent = SilentRun::new(details.fingerprint, placement.target, end, now);
+        let silent = SilentRun::new(suspects, placement.target, end, now);
         self.silent.push_back(silent);
     }
 
-    /// Records that a target has sent the first event of its answer to a request. Nothing depends on it yet.
-    pub fn record_begun(&mut self, _details: &RequestDetails, _now: MonoTime) {}
+    /// Records that a target has sent the first event of its answer to a request.
+    pub fn record_begun(&mut self, details: &RequestDetails, now: MonoTime) {
+        self.suspects.record_begun(details.parts.iter().copied(), now);
+    }
 
     /// Records that a target has answered a request.
     pub(super) fn record_no_end(
@@ -80,6 +89,7 @@
         now: MonoTime,
     ) {
         self.suspects.record_answered(details.fingerprint, now);
+        self.record_begun(details, now);
         if let Some(run) = self.run_of(target) {
             let sent = MonoTime::ZERO + now.since(MonoTime::ZERO + sample.hold);
             self.suspects.record_alive(run, sent, now);
@@ -91,8 +101,8 @@
     pub fn review_suspects(&mut self, now: MonoTime) -> Vec<SuspectEvent> {
         let Self { silent, suspects, targets, .. } = self;
         silent.retain(|run| match run.confirm(|target| targets.has_vanished(target)) {
-            Some((fingerprint, end)) => {
-                suspects.record_end(fingerprint, end, now);
+            Some((ended_under, end)) => {
+                suspects.record_end_under(ended_under, end, now);
                 false
             }
             None => !run.has_expired(now),
--- a/kwg-gate/src/poison/end_feed.rs
+++ b/kwg-gate/src/poison/end_feed.rs
@@ -1,12 +1,12 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
-use crate::{EndKey, EndRecord};
+use crate::{EndKey, EndRecord, SuspectKey};
 
 /// Maximum number of changed records in a message that is not complete: about 1.2 kB. The others follow in the next ones.
 const MAX_NEWS: usize = 64;
 
-/// Selects the records that the next message contains: those that have changed since the last one, of the contents
+/// Selects the records that the next message contains: those that have changed since the last one, of the suspects
 /// with most ends first, and some of the others in turn.
 ///
 /// ```
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndFeed {
     /// What was last sent of each record.
-    sent: HashMap<EndKey, (bool, bool)>,
+    sent: HashMap<EndKey, [bool; 4]>,
     /// Where the repeated records continue.
     cursor: usize,
 }
@@ -36,12 +36,12 @@
         let (mut taken, known): (Vec<EndRecord>, Vec<EndRecord>) =
             records.iter().partition(|record| self.is_news(record));
         if taken.len() > MAX_NEWS {
-            let mut counts: HashMap<u64, usize> = HashMap::new();
+            let mut counts: HashMap<SuspectKey, usize> = HashMap::new();
             for record in records.iter().filter(|record| !record.is_void) {
-                *counts.entry(record.key.fingerprint).or_default() += 1;
+                *counts.entry(record.key.suspect).or_default() += 1;
             }
-            let count = |record: &EndRecord| counts.get(&record.key.fingerprint).copied();
-            taken.sort_by_key(|record| (Reverse(count(record)), record.age_ms));
+            let count = |record: &EndRecord| counts.get(&record.key.suspect).copied();
+            taken.sort_by_key(|record| (Reverse(count(record)), record.has_begun, record.age_ms));
             taken.truncate(MAX_NEWS);
         }
         let repeats = repeats.min(known.len());
--- a/kwg-gate/src/poison/mod.rs
+++ b/kwg-gate/src/poison/mod.rs
@@ -1,20 +1,27 @@
-//! Requests that end the targets that run them.
+//! Requests that end the targets that run them, by their whole content or by a part of their prompt.
 //!
-//! Instances share the evidence, not counts: which run of a target ended under which content. Sets of such records
+//! Instances share the evidence, not counts: which run of a target ended under which suspect. Sets of such records
 //! are merged by union, so that a record that arrives twice, late or by several ways changes nothing.
 
 mod answer_memory;
 mod end_feed;
 mod end_record;
+mod end_timeline;
+mod packed_end;
 mod silent_run;
 mod suspect_entry;
 mod suspect_event;
+mod suspect_key;
 mod suspect_tracker;
+mod suspect_verdict;
 mod target_run;
+mod verdict_review;
 
 pub use end_feed::EndFeed;
 pub use end_record::{EndKey, EndRecord};
 pub(crate) use silent_run::SilentRun;
 pub use suspect_event::{EndSource, ReleaseCause, SuspectEvent};
+pub use suspect_key::SuspectKey;
 pub use suspect_tracker::{SeenEnd, SuspectTracker};
+pub use suspect_verdict::SuspectVerdict;
 pub use target_run::TargetRun;
--- a/kwg-gate/src/poison/silent_run.rs
+++ b/kwg-gate/src/poison/silent_run.rs
@@ -2,17 +2,17 @@
 
 use kwg_model::MonoTime;
 
-use super::SeenEnd;
+use super::{SeenEnd, SuspectKey};
 use crate::TargetKey;
 
 /// How long a silent target may take to be found gone. Its entry lapses after three missed heartbeats, and the store
 /// may be away meanwhile.
 const CONFIRM_LIMIT: Duration = Duration::from_secs(20);
 
-/// A request whose target fell silent. If the target turns out to be gone, it has ended under the request.
+/// The suspects of a request whose target fell silent. If the target turns out to be gone, it has ended under the request.
 #[derive(Debug, Clone)]
 pub(crate) struct SilentRun {
-    fingerprint: u64,
+    suspects: Vec<SuspectKey>,
     target: TargetKey,
     end: SeenEnd,
     noticed: MonoTime,
@@ -20,12 +20,12 @@
 
 impl SilentRun {
     pub(crate) fn new(
-        fingerprint: u64,
+        suspects: Vec<SuspectKey>,
         target: TargetKey,
         end: SeenEnd,
         noticed: MonoTime,
     ) -> Self {
-        Self { fingerprint, target, end, noticed }
+        Self { suspects, target, end, noticed }
     }
 
     /// Whether the target is assumed to have lived on.
@@ -33,11 +33,11 @@
         now.since(self.noticed) > CONFIRM_LIMIT
     }
 
-    /// Content and end, if the target has vanished.
+    /// Suspects and end, if the target has vanished.
     pub(crate) fn confirm(
         &self,
         has_vanished: impl Fn(TargetKey) -> bool,
-    ) -> Option<(u64, SeenEnd)> {
-        has_vanished(self.target).then_some((self.fingerprint, self.end))
+    ) -> Option<(&[SuspectKey], SeenEnd)> {
+        has_vanished(self.target).then_some((&self.suspects[..], self.end))
     }
 }
--- a/kwg-gate/src/poison/suspect_entry.rs
+++ b/kwg-gate/src/poison/suspect_entry.rs
@@ -2,39 +2,55 @@
 
 use kwg_model::MonoTime;
 
-use crate::{EndKey, EndRecord, TargetRun};
+use crate::{EndKey, EndRecord, SuspectKey, TargetRun};
 
-/// Number of ends of targets under a content from which on it is refused.
-const ENDS_TO_REFUSE: usize = 3;
-/// Time after the last end for which a content is refused. Then it may be sent again, and one more end is enough.
+/// Time after the last end for which a suspect is refused. Then it may be sent again, and one more end is enough.
 const REFUSED_FOR: Duration = Duration::from_secs(600);
-/// Time after the last end for which a content that was refused is remembered.
+/// Time after the last end for which a suspect that was refused is remembered.
 const REMEMBERED_FOR: Duration = Duration::from_secs(3_600);
+/// Number of ends from which on a suspect is remembered that long.
+const ENDS_TO_REMEMBER: usize = 3;
 /// Span of time over which targets end at once for a reason of their own, as when a failure domain loses power. Ends
 /// of a content that was answered before count only if they are spread over more than that.
-const BURST_SPAN: Duration = Duration::from_secs(3);
+const CONTENT_BURST: Duration = Duration::from_secs(3);
+/// The same of a part. All instances know by then of an answer that has cleared one that many requests have.
+const PART_BURST: Duration = Duration::from_millis(700);
 /// Shortest time in which a target that has ended is back. An answer to a request that was sent sooner shows that the
 /// target had not ended.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of ends that are remembered of a content.
-const MAX_ENDS: usize = 16;
+const MAX_CONTENT_ENDS: usize = 16;
+/// Maximum number of ends that are remembered of a part: as many as targets that may end before all instances know.
+const MAX_PART_ENDS: usize = 64;
 
-/// What is known of one content.
+/// Identifies one end of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct EndId {
+    pub(super) run: TargetRun,
+    pub(super) ordinal: u8,
+}
+
+/// What is known of one suspect.
 #[derive(Debug, Clone, Default)]
 pub(super) struct SuspectEntry {
     ends: Vec<KnownEnd>,
-    /// Whether the last review found it refused.
-    pub(super) was_refused: bool,
 }
 
-/// An end of a target under a content.
+/// An end of a target under a suspect.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct KnownEnd {
-    pub(super) run: TargetRun,
-    pub(super) ordinal: u8,
+    pub(super) id: EndId,
     pub(super) at: MonoTime,
+    /// Time for which the request had been at the target.
+    pub(super) held: Duration,
     pub(super) is_void: bool,
     pub(super) was_answered: bool,
+    /// Whether other targets ended with it without the suspect.
+    pub(super) is_crowded: bool,
+    /// Whether it counts nevertheless, since the suspect has explained enough of the ends at that time.
+    pub(super) is_proved: bool,
+    /// Whether the target had begun its answer.
+    pub(super) has_begun: bool,
     /// Whether a peer may know of it.
     pub(super) is_shared: bool,
 }
@@ -47,17 +63,28 @@
 }
 
 impl SuspectEntry {
-    /// Adds what is known of an end; returns whether the end is new.
-    pub(super) fn merge(&mut self, end: KnownEnd) -> bool {
-        let is_same = |known: &&mut KnownEnd| (known.run, known.ordinal) == (end.run, end.ordinal);
-        if let Some(known) = self.ends.iter_mut().find(is_same) {
+    /// Maximum number of ends that are remembered of a suspect.
+    pub(super) fn max_ends(suspect: SuspectKey) -> usize {
+        match suspect {
+            SuspectKey::Content(_) => MAX_CONTENT_ENDS,
+            SuspectKey::Part(_) => MAX_PART_ENDS,
+        }
+    }
+
+    /// Adds what is known of an end, of which `limit` are remembered; returns whether the end is new.
+    pub(super) fn merge(&mut self, end: KnownEnd, limit: usize) -> bool {
+        if let Some(known) = self.ends.iter_mut().find(|known| known.id == end.id) {
             known.is_void |= end.is_void;
             known.was_answered |= end.was_answered;
+            known.is_crowded |= end.is_crowded;
+            known.is_proved |= end.is_proved;
+            known.has_begun &= end.has_begun;
             known.is_shared |= end.is_shared;
             known.at = known.at.min(end.at);
+            known.held = known.held.min(end.held);
             return false;
         }
-        if self.ends.len() >= MAX_ENDS {
+        if self.ends.len() >= limit {
             let rank = |(_, known): &(usize, &KnownEnd)| (!known.is_void, known.at);
             if let Some((oldest, _)) = self.ends.iter().enumerate().min_by_key(rank) {
                 self.ends.swap_remove(oldest);
@@ -67,10 +94,25 @@
         true
     }
 
-    /// Number of ends of a run that are known.
-    pub(super) fn ends_of(&self, run: TargetRun) -> u8 {
-        let of_run = self.ends.iter().filter(|end| end.run == run);
-        of_run.map(|end| end.ordinal.saturating_add(1)).max().unwrap_or(0)
+    /// All ends.
+    pub(super) fn ends(&self) -> impl Iterator<Item = &KnownEnd> {
+        self.ends.iter()
+    }
+
+    /// The ends that count are proved to be the doing of this suspect, though others ended with them.
+    pub(super) fn prove(&mut self, is_part_of: impl Fn(&EndId) -> bool) {
+        let proved = self.ends.iter_mut().filter(|end| !end.is_void && is_part_of(&end.id));
+        proved.for_each(|end| end.is_proved = true);
+    }
+
+    /// The ends that are not known to have come with others.
+    pub(super) fn calm_mut(&mut self) -> impl Iterator<Item = &mut KnownEnd> {
+        self.ends.iter_mut().filter(|end| !end.is_crowded)
+    }
+
+    /// The ends that count.
+    pub(super) fn counted(&self) -> impl Iterator<Item = &KnownEnd> {
+        self.ends.iter().filter(|end| !end.is_void)
     }
 
     /// Number of ends that count.
@@ -78,27 +120,47 @@
         self.counted().count()
     }
 
-    /// Whether the content must not be sent to targets.
-    pub(super) fn is_refused(&self, now: MonoTime) -> bool {
-        let (Some(first), Some(last)) =
-            (self.counted().map(|end| end.at).min(), self.counted().map(|end| end.at).max())
-        else {
-            return false;
+    /// Number of ends of a run that are known.
+    pub(super) fn ends_of(&self, run: TargetRun) -> u8 {
+        let of_run = self.ends.iter().filter(|end| end.id.run == run);
+        of_run.map(|end| end.id.ordinal.saturating_add(1)).max().unwrap_or(0)
+    }
+
+    /// Whether the request was cut off in the middle of its answer, once.
+    pub(super) fn is_weak(&self) -> bool {
+        self.ends.len() < 2 && self.ends.iter().all(|end| end.has_begun)
+    }
+
+    /// Whether ends may be those of a burst, under a suspect that was answered before.
+    pub(super) fn may_be_burst(suspect: SuspectKey, ends: &[KnownEnd]) -> bool {
+        let longest = match suspect {
+            SuspectKey::Content(_) => CONTENT_BURST,
+            SuspectKey::Part(_) => PART_BURST,
         };
-        let may_be_burst = self.counted().any(|end| end.was_answered);
-        self.count() >= ENDS_TO_REFUSE
-            && now.since(last) < REFUSED_FOR
-            && (!may_be_burst || last.since(first) > BURST_SPAN)
+        let (first, last) =
+            (ends.iter().map(|end| end.at).min(), ends.iter().map(|end| end.at).max());
+        let span = first.zip(last).map_or(Duration::ZERO, |(first, last)| last.since(first));
+        ends.iter().any(|end| end.was_answered) && span <= longest
+    }
+
+    /// For how long a suspect is refused after its last end.
+    pub(super) fn refused_for() -> Duration {
+        REFUSED_FOR
     }
 
-    /// The content was answered: the ends that are known were not its doing.
+    /// Until when some ends let a suspect be refused.
+    pub(super) fn refused_until(ends: &[KnownEnd]) -> MonoTime {
+        ends.iter().map(|end| end.at).max().unwrap_or(MonoTime::ZERO) + REFUSED_FOR
+    }
+
+    /// The suspect was answered: the ends that are known were not its doing.
     pub(super) fn void_all(&mut self) {
         self.ends.iter_mut().for_each(|end| end.is_void = true);
     }
 
     /// A run has answered a request that was sent at this moment: it had not ended.
     pub(super) fn void_run(&mut self, run: TargetRun, sent: MonoTime) {
-        let of_run = self.ends.iter_mut().filter(|end| end.run == run);
+        let of_run = self.ends.iter_mut().filter(|end| end.id.run == run);
         of_run.for_each(|end| end.is_void |= end.is_refuted_by(sent));
     }
 
@@ -123,14 +185,9 @@
         self.ends.iter().map(|end| end.at).max().unwrap_or(MonoTime::ZERO)
     }
 
-    /// For how long the content has been refused after its last end.
-    pub(super) fn refused_for() -> Duration {
-        REFUSED_FOR
-    }
-
     /// Whether it is to be forgotten.
     pub(super) fn has_expired(&self, now: MonoTime) -> bool {
-        let kept = match self.count() >= ENDS_TO_REFUSE {
+        let kept = match self.count() >= ENDS_TO_REMEMBER {
             true => REMEMBERED_FOR,
             false => REFUSED_FOR,
         };
@@ -140,18 +197,19 @@
     /// Its records, for peers.
     pub(super) fn records(
         &self,
-        fingerprint: u64,
+        suspect: SuspectKey,
         now: MonoTime,
     ) -> impl Iterator<Item = EndRecord> {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         self.ends.iter().map(move |end| EndRecord {
-            key: EndKey { fingerprint, run: end.run, ordinal: end.ordinal },
+            key: EndKey { suspect, run: end.id.run, ordinal: end.id.ordinal },
             is_void: end.is_void,
             was_answered: end.was_answered,
-            age_ms: u32::try_from(now.since(end.at).as_millis()).unwrap_or(u32::MAX),
+            is_crowded: end.is_crowded,
+            is_proved: end.is_proved,
+            has_begun: end.has_begun,
+            held_ms: millis(end.held),
+            age_ms: millis(now.since(end.at)),
         })
     }
-
-    fn counted(&self) -> impl Iterator<Item = &KnownEnd> {
-        self.ends.iter().filter(|end| !end.is_void)
-    }
 }
--- a/kwg-gate/src/poison/suspect_event.rs
+++ b/kwg-gate/src/poison/suspect_event.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::{EndKey, TargetId};
+use crate::{EndKey, SuspectKey, SuspectVerdict, TargetId};
 
 /// A change of what is known of a request that may end its targets, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,17 +16,12 @@
         /// Number of ends that count so far.
         count: usize,
     },
-    /// The content is refused from now on.
-    Refused {
-        /// Fingerprint of the content.
-        fingerprint: u64,
-        /// Number of ends that count.
-        count: usize,
-    },
-    /// The content is no longer refused.
+    /// Requests are refused from now on.
+    Refused(SuspectVerdict),
+    /// They are no longer refused.
     Released {
-        /// Fingerprint of the content.
-        fingerprint: u64,
+        /// What they have.
+        suspects: Vec<SuspectKey>,
         /// Why.
         cause: ReleaseCause,
     },
@@ -41,10 +36,10 @@
     Peer(Box<str>),
 }
 
-/// Why a content is no longer refused.
+/// Why requests are no longer refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReleaseCause {
-    /// Some of the ends do not count: it was answered, or targets had not ended.
+    /// Some of the ends do not count: one was answered, targets had not ended, or another suspect explains the ends.
     Refuted,
     /// No target has ended under it for this long.
     Expired(Duration),
--- a/kwg-gate/src/poison/suspect_tracker.rs
+++ b/kwg-gate/src/poison/suspect_tracker.rs
@@ -1,15 +1,20 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use kwg_model::MonoTime;
 
 use super::answer_memory::AnswerMemory;
-use super::suspect_entry::{KnownEnd, SuspectEntry};
-use crate::{EndKey, EndRecord, EndSource, ReleaseCause, SuspectEvent, TargetRun};
+use super::end_timeline::EndTimeline;
+use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
+use super::verdict_review::{ReviewResult, VerdictReview, mark_crowded};
+use crate::{
+    EndKey, EndRecord, EndSource, PromptPart, ReleaseCause, SuspectEvent, SuspectKey,
+    SuspectVerdict, TargetRun,
+};
 
-/// Maximum number of contents. Those that are not refused are dropped first, and of these the one whose last end
-/// is oldest.
-const MAX_CONTENTS: usize = 256;
+/// Maximum number of suspects. Those that are not refused are dropped first, of these the ones that were cut off in the
+/// middle of an answer, and then the one with fewest ends whose last end is oldest.
+const MAX_SUSPECTS: usize = 256;
 /// Maximum age of an answer before an end, for the end to count as one of a content that was answered before.
 const ANSWER_AGE: Duration = Duration::from_secs(60);
 /// Maximum number of events that wait to be logged.
@@ -17,11 +22,14 @@
 /// Added to all times, since ends that peers report may be older than this process, whose clock starts at zero.
 const CLOCK_OFFSET: Duration = Duration::from_secs(86_400);
 
-/// Which requests end the targets that run them, keyed by
-/// [`RequestDetails::fingerprint`](crate::RequestDetails::fingerprint).
+/// Which requests end the targets that run them, by their content,
+/// [`RequestDetails::fingerprint`](crate::RequestDetails::fingerprint), or a part of their prompt.
 ///
-/// Three ends of targets make a request refused at all instances. An answer voids the ends that are known, since a
-/// request that ends all targets that run it is never answered.
+/// Three ends of targets make a request refused at all instances. Several ends have a common cause if the requests were
+/// under way together, so that ends under a part count if the requests were sent one after the other, and ends that
+/// come with many others count only if the suspect explains enough of them. An answer voids the ends that are known,
+/// since what ends all targets that run it is never answered; an end that one suspect explains does not count
+/// against another.
 ///
 /// ```
 /// use kwg_gate::{SuspectTracker, SeenEnd, TargetRun};
@@ -31,15 +39,22 @@
 /// for target in ["i-1", "i-2", "i-3"] {
 ///     assert!(!tracker.is_refused(7, now));
 ///     let run = TargetRun::of(target, 1);
-///     tracker.record_end(7, SeenEnd { run, ordinal: 0, sent_after: now }, now);
+///     let end = SeenEnd { run, ordinal: 0, sent_after: now, has_begun: false };
+///     tracker.record_end(7, end, now);
 /// }
 /// assert!(tracker.is_refused(7, now));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SuspectTracker {
-    contents: HashMap<u64, SuspectEntry>,
+    suspects: HashMap<SuspectKey, SuspectEntry>,
+    timeline: EndTimeline,
+    review: ReviewResult,
+    /// Number of targets that are known.
+    targets: usize,
     /// When contents were last answered.
-    answers: AnswerMemory,
+    content_answers: AnswerMemory,
+    /// When an answer to a request with a part last began.
+    part_answers: AnswerMemory,
     /// When the last request that a run of a target has answered was sent.
     alive: AnswerMemory,
     events: Vec<SuspectEvent>,
@@ -50,53 +65,96 @@
 pub struct SeenEnd {
     /// The run that has ended.
     pub run: TargetRun,
-    /// Number of ends of this run under the content that were known when the request was sent.
+    /// Number of ends of this run that were known when the request was sent.
     pub ordinal: u8,
     /// A moment after which the request was sent.
     pub sent_after: MonoTime,
+    /// Whether the target had begun its answer. Only the content of such a request is suspected.
+    pub has_begun: bool,
 }
 
 impl SuspectTracker {
-    /// Records that a target has ended while it ran a request.
-    pub fn record_end(&mut self, fingerprint: u64, end: SeenEnd, now: MonoTime) {
+    /// Records that a target has ended while it ran a request with this suspect.
+    pub fn record_end(&mut self, suspect: impl Into<SuspectKey>, end: SeenEnd, now: MonoTime) {
+        self.record_end_under(&[suspect.into()], end, now);
+    }
+
+    /// Records that a target has ended while it ran a request with all of these suspects.
+    pub fn record_end_under(&mut self, suspects: &[SuspectKey], end: SeenEnd, now: MonoTime) {
         let (now, sent_after) = (now + CLOCK_OFFSET, end.sent_after + CLOCK_OFFSET);
-        let answered = self.answers.last(fingerprint);
-        let known = KnownEnd {
-            run: end.run,
-            ordinal: end.ordinal,
-            at: now,
-            // Meanwhile another target has answered it.
-            is_void: answered.is_some_and(|at| at >= sent_after),
-            was_answered: Self::is_recent(answered, now),
-            is_shared: false,
-        };
-        self.merge(fingerprint, known, EndSource::Own, now);
+        for suspect in suspects {
+            let answered = self.answered(*suspect);
+            let known = KnownEnd {
+                id: EndId { run: end.run, ordinal: end.ordinal },
+                at: now,
+                held: now.since(sent_after),
+                // Meanwhile another target has answered it.
+                is_void: answered.is_some_and(|at| at >= sent_after),
+                was_answered: Self::is_recent(answered, now),
+                is_crowded: false,
+                is_proved: false,
+                has_begun: end.has_begun,
+                is_shared: false,
+            };
+            self.merge(*suspect, known, EndSource::Own);
+        }
+        self.judge(now);
     }
 
     /// Applies a record that a peer reports.
     pub fn apply_record(&mut self, peer: &str, record: &EndRecord, now: MonoTime) {
+        self.apply_records(peer, std::slice::from_ref(record), now);
+    }
+
+    /// Applies the records that a peer reports.
+    pub fn apply_records(&mut self, peer: &str, records: &[EndRecord], now: MonoTime) {
         let now = now + CLOCK_OFFSET;
-        let at = MonoTime::ZERO + now.since(MonoTime::ZERO + record.age());
-        let EndKey { fingerprint, run, ordinal } = record.key;
-        let answered = self.answers.last(fingerprint);
-        let known = KnownEnd {
-            run,
-            ordinal,
-            at,
-            is_void: record.is_void || answered.is_some_and(|answered| answered >= at),
-            was_answered: record.was_answered || Self::is_recent(answered, at),
-            is_shared: true,
-        };
-        self.merge(fingerprint, known, EndSource::Peer(peer.into()), now);
+        let mut has_news = false;
+        for record in records {
+            let at = MonoTime::ZERO + now.since(MonoTime::ZERO + record.age());
+            let EndKey { suspect, run, ordinal } = record.key;
+            let answered = self.answered(suspect);
+            let known = KnownEnd {
+                id: EndId { run, ordinal },
+                at,
+                held: record.held(),
+                is_void: record.is_void || answered.is_some_and(|answered| answered >= at),
+                was_answered: record.was_answered || Self::is_recent(answered, at),
+                is_crowded: record.is_crowded,
+                is_proved: record.is_proved,
+                has_begun: record.has_begun,
+                is_shared: true,
+            };
+            has_news |= self.merge(suspect, known, EndSource::Peer(peer.into()));
+        }
+        if has_news {
+            self.judge(now);
+        }
     }
 
-    /// Records that a target has answered a request.
+    /// Records that a target has answered a request with this content.
     pub fn record_answered(&mut self, fingerprint: u64, now: MonoTime) {
         let now = now + CLOCK_OFFSET;
-        self.answers.record(fingerprint, now);
-        if let Some(entry) = self.contents.get_mut(&fingerprint) {
+        self.content_answers.record(fingerprint, now);
+        if let Some(entry) = self.suspects.get_mut(&SuspectKey::Content(fingerprint)) {
             entry.void_all();
-            self.review_content(fingerprint, now);
+            self.judge(now);
+        }
+    }
+
+    /// Records that a target has begun to answer a request with these parts.
+    pub fn record_begun(&mut self, parts: impl IntoIterator<Item = PromptPart>, now: MonoTime) {
+        let now = now + CLOCK_OFFSET;
+        let mut is_known = false;
+        for part in parts {
+            self.part_answers.record(part.code(), now);
+            if let Some(entry) = self.suspects.get_mut(&SuspectKey::Part(part)) {
+                entry.void_all();
+                is_known = true;
+            }
+        }
+        if is_known {
+            self.judge(now);
         }
     }
 
@@ -104,108 +162,162 @@
     pub fn record_alive(&mut self, run: TargetRun, sent: MonoTime, now: MonoTime) {
         let (sent, now) = (sent + CLOCK_OFFSET, now + CLOCK_OFFSET);
         self.alive.record(run.code(), sent);
-        let refutable: Vec<u64> = self
-            .contents
-            .iter()
-            .filter(|(_, entry)| entry.is_refutable(sent))
-            .map(|(fingerprint, _)| *fingerprint)
-            .collect();
-        for fingerprint in refutable {
-            if let Some(entry) = self.contents.get_mut(&fingerprint) {
-                entry.void_run(run, sent);
-            }
-            self.review_content(fingerprint, now);
+        let refutable = self.suspects.values_mut().filter(|entry| entry.is_refutable(sent));
+        let mut is_refuted = false;
+        refutable.for_each(|entry| {
+            entry.void_run(run, sent);
+            is_refuted = true;
+        });
+        if is_refuted {
+            self.judge(now);
         }
     }
 
-    /// Whether a request must not be sent to a target.
+    /// Sets the number of targets that are known, which decides how many ends at a time are a coincidence.
+    pub fn set_target_count(&mut self, targets: usize) {
+        self.targets = targets;
+    }
+
+    /// Whether a request must not be sent to a target for this suspect alone.
     #[must_use]
-    pub fn is_refused(&self, fingerprint: u64, now: MonoTime) -> bool {
+    pub fn is_refused(&self, suspect: impl Into<SuspectKey>, now: MonoTime) -> bool {
+        let suspect = suspect.into();
+        self.verdict_on(|key| key == suspect, now).is_some()
+    }
+
+    /// Why a request with the suspects for which `has` holds must not be sent to a target.
+    #[must_use]
+    pub fn verdict_on(
+        &self,
+        has: impl Fn(SuspectKey) -> bool,
+        now: MonoTime,
+    ) -> Option<&SuspectVerdict> {
         let now = now + CLOCK_OFFSET;
-        self.contents.get(&fingerprint).is_some_and(|entry| entry.is_refused(now))
+        let in_force = self.review.verdicts.iter().filter(|verdict| now < verdict.until);
+        in_force.into_iter().find(|verdict| verdict.suspects.iter().all(|key| has(*key)))
     }
 
-    /// Number of ends that count against a request.
+    /// Number of ends that count against a suspect.
     #[must_use]
-    pub fn count(&self, fingerprint: u64) -> usize {
-        self.contents.get(&fingerprint).map_or(0, SuspectEntry::count)
+    pub fn count(&self, suspect: impl Into<SuspectKey>) -> usize {
+        self.suspects.get(&suspect.into()).map_or(0, SuspectEntry::count)
     }
 
-    /// Number of contents that are refused.
+    /// Number of verdicts in force.
     #[must_use]
     pub fn refused_count(&self) -> usize {
-        self.contents.values().filter(|entry| entry.was_refused).count()
+        self.review.verdicts.len()
     }
 
-    /// Number of ends of a run of a target under a request that are known, for [`SeenEnd::ordinal`].
+    /// Number of ends of a run of a target that are known, for [`SeenEnd::ordinal`].
     #[must_use]
-    pub fn known_ends(&self, fingerprint: u64, run: TargetRun) -> u8 {
-        self.contents.get(&fingerprint).map_or(0, |entry| entry.ends_of(run))
+    pub fn known_ends(&self, run: TargetRun) -> u8 {
+        self.suspects.values().map(|entry| entry.ends_of(run)).max().unwrap_or(0)
     }
 
     /// All records, for peers.
     pub fn records(&self, now: MonoTime) -> impl Iterator<Item = EndRecord> {
         let now = now + CLOCK_OFFSET;
-        self.contents.iter().flat_map(move |(fingerprint, entry)| entry.records(*fingerprint, now))
+        self.suspects.iter().flat_map(move |(suspect, entry)| entry.records(*suspect, now))
     }
 
     /// Prepares what [`Self::records`] returns: forgets what has expired, and what turned out not to count before any
     /// peer has heard of it. Returns what has changed since the last call.
     pub fn review(&mut self, now: MonoTime) -> Vec<SuspectEvent> {
         let now = now + CLOCK_OFFSET;
-        let refused = self.contents.iter().filter(|(_, entry)| entry.was_refused);
-        let refused: Vec<u64> = refused.map(|(fingerprint, _)| *fingerprint).collect();
-        refused.into_iter().for_each(|fingerprint| self.review_content(fingerprint, now));
-        self.contents.values_mut().for_each(SuspectEntry::share);
-        self.contents.retain(|_, entry| !entry.is_empty() && !entry.has_expired(now));
+        self.timeline.expire(now);
+        self.suspects.values_mut().for_each(SuspectEntry::share);
+        self.suspects.retain(|_, entry| !entry.is_empty() && !entry.has_expired(now));
+        if !self.review.verdicts.is_empty() {
+            self.judge(now);
+        }
         std::mem::take(&mut self.events)
     }
 
+    fn answered(&self, suspect: SuspectKey) -> Option<MonoTime> {
+        match suspect {
+            SuspectKey::Content(fingerprint) => self.content_answers.last(fingerprint),
+            SuspectKey::Part(part) => self.part_answers.last(part.code()),
+        }
+    }
+
     fn is_recent(answered: Option<MonoTime>, end: MonoTime) -> bool {
         answered.is_some_and(|at| end.since(at) < ANSWER_AGE)
     }
 
-    fn merge(&mut self, fingerprint: u64, mut end: KnownEnd, source: EndSource, now: MonoTime) {
-        let sent = self.alive.last(end.run.code());
+    /// Adds what is known of an end; returns whether that may change a verdict.
+    fn merge(&mut self, suspect: SuspectKey, mut end: KnownEnd, source: EndSource) -> bool {
+        let sent = self.alive.last(end.id.run.code());
         end.is_void |= sent.is_some_and(|sent| end.is_refuted_by(sent));
-        if !self.contents.contains_key(&fingerprint) {
-            self.make_room(now);
+        self.timeline.record(end.id, end.at);
+        if !self.suspects.contains_key(&suspect) {
+            if end.has_begun && self.review.explained.contains(&end.id) {
+                return false;
+            }
+            self.make_room();
         }
-        let entry = self.contents.entry(fingerprint).or_default();
-        if entry.merge(end) && !end.is_void {
-            let key = EndKey { fingerprint, run: end.run, ordinal: end.ordinal };
-            let count = entry.count();
-            self.push_event(SuspectEvent::EndKnown { key, target: None, source, count });
+        let entry = self.suspects.entry(suspect).or_default();
+        let is_new = entry.merge(end, SuspectEntry::max_ends(suspect));
+        if is_new && !end.is_void {
+            let EndId { run, ordinal } = end.id;
+            let key = EndKey { suspect, run, ordinal };
+            let (count, is_weak) = (entry.count(), entry.is_weak());
+            // A peer that sees an end logs whose answers it has cut off in the middle.
+            if source == EndSource::Own || !is_weak {
+                self.push_event(SuspectEvent::EndKnown { key, target: None, source, count });
+            }
         }
-        self.review_content(fingerprint, now);
+        true
     }
 
-    /// Notes whether a content has become refused or is no longer.
-    fn review_content(&mut self, fingerprint: u64, now: MonoTime) {
-        let Some(entry) = self.contents.get_mut(&fingerprint) else { return };
-        let is_refused = entry.is_refused(now);
-        if std::mem::replace(&mut entry.was_refused, is_refused) == is_refused {
-            return;
-        }
-        let count = entry.count();
-        let quiet = now.since(entry.last_end());
-        let event = match is_refused {
-            true => SuspectEvent::Refused { fingerprint, count },
-            false if quiet >= SuspectEntry::refused_for() => {
-                SuspectEvent::Released { fingerprint, cause: ReleaseCause::Expired(quiet) }
+    /// Finds anew which suspects are refused.
+    fn judge(&mut self, now: MonoTime) {
+        let Self { suspects, timeline, review, targets, .. } = self;
+        mark_crowded(suspects, timeline, &review.explained, *targets);
+        let found = VerdictReview { entries: suspects, timeline, now }.run();
+        for (suspect, entry) in suspects {
+            let convicting =
+                found.verdicts.iter().find(|verdict| verdict.suspects.contains(suspect));
+            if let Some(verdict) = convicting {
+                entry.prove(|id| verdict.explains.contains(id));
             }
-            false => SuspectEvent::Released { fingerprint, cause: ReleaseCause::Refuted },
+        }
+        let before = std::mem::replace(&mut self.review, found);
+        let has = |verdicts: &[SuspectVerdict], of: &SuspectVerdict| {
+            verdicts.iter().any(|verdict| verdict.suspects == of.suspects)
         };
-        self.push_event(event);
+        for verdict in &before.verdicts {
+            if !has(&self.review.verdicts, verdict) {
+                let cause = match now >= verdict.until {
+                    true => ReleaseCause::Expired(SuspectEntry::refused_for()),
+                    false => ReleaseCause::Refuted,
+                };
+                let suspects = verdict.suspects.clone();
+                self.push_event(SuspectEvent::Released { suspects, cause });
+            }
+        }
+        let added = self.review.verdicts.iter().filter(|verdict| !has(&before.verdicts, verdict));
+        let added: Vec<SuspectVerdict> = added.cloned().collect();
+        if !added.is_empty() {
+            let Self { suspects, review, .. } = self;
+            suspects.retain(|_, entry| {
+                !entry.is_weak() || !entry.ends().all(|end| review.explained.contains(&end.id))
+            });
+        }
+        added.into_iter().for_each(|verdict| self.push_event(SuspectEvent::Refused(verdict)));
     }
 
-    fn make_room(&mut self, now: MonoTime) {
-        if self.contents.len() < MAX_CONTENTS {
+    fn make_room(&mut self) {
+        if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let rank = |(_, entry): &(&u64, &SuspectEntry)| (entry.is_refused(now), entry.last_end());
-        let least = self.contents.iter().min_by_key(rank).map(|(fingerprint, _)| *fingerprint);
-        least.into_iter().for_each(|fingerprint| drop(self.contents.remove(&fingerprint)));
+        let refused: HashSet<SuspectKey> =
+            self.review.verdicts.iter().flat_map(|verdict| verdict.suspects.clone()).collect();
+        let rank = |(key, entry): &(&SuspectKey, &SuspectEntry)| {
+            (refused.contains(key), !entry.is_weak(), entry.count(), entry.last_end())
+        };
+        let least = self.suspects.iter().min_by_key(rank).map(|(suspect, _)| *suspect);
+        least.into_iter().for_each(|suspect| drop(self.suspects.remove(&suspect)));
     }
 
     fn push_event(&mut self, event: SuspectEvent) {
--- /dev/null
+++ b/kwg-gate/src/poison/verdict_review.rs
@@ -0,0 +1,151 @@
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use kwg_model::MonoTime;
+
+use super::end_timeline::EndTimeline;
+use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
+use super::{SuspectKey, SuspectVerdict};
+
+/// Number of ends from which on a suspect is convicted.
+const ENDS_TO_REFUSE: usize = 3;
+/// Share of the targets that have ended meanwhile, of which a suspect must explain the ends if others ended with them.
+const MIN_SHARE: f64 = 0.25;
+/// Time before now from which ends count towards that share.
+const SHARE_SPAN: Duration = Duration::from_secs(10);
+/// Time between two ends of one cause, such as a crash of a failure domain, as instances see them.
+const CROWD_SPAN: Duration = Duration::from_millis(250);
+/// Number of targets, for one of which ends at the same time that a suspect does not explain are a coincidence.
+const TARGETS_FOR_COINCIDENCE: usize = 20;
+
+/// Finds which suspects explain the ends of targets, as in group testing: of those that no answer has cleared, the one
+/// that explains most ends is convicted first, and these ends count against nothing else.
+#[derive(Debug)]
+pub(super) struct VerdictReview<'a> {
+    pub(super) entries: &'a HashMap<SuspectKey, SuspectEntry>,
+    pub(super) timeline: &'a EndTimeline,
+    pub(super) now: MonoTime,
+}
+
+/// What a review has found.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ReviewResult {
+    pub(super) verdicts: Vec<SuspectVerdict>,
+    /// Ends that a verdict explains.
+    pub(super) explained: HashSet<EndId>,
+}
+
+impl VerdictReview<'_> {
+    /// Convicts suspects until none is left that explains enough of the other ends.
+    pub(super) fn run(&self) -> ReviewResult {
+        let mut result = ReviewResult::default();
+        while let Some(verdict) = self.strongest(&result.explained) {
+            result.explained.extend(&verdict.explains);
+            result.verdicts.push(verdict);
+        }
+        result.verdicts.sort_by(|one, other| one.suspects.cmp(&other.suspects));
+        result
+    }
+
+    /// The suspects that explain most of the ends that are not explained. If there are several, their
+    /// order decides, so that all instances with the same evidence find the same ones.
+    fn strongest(&self, explained: &HashSet<EndId>) -> Option<SuspectVerdict> {
+        let open: Vec<(SuspectKey, Vec<KnownEnd>)> = self
+            .entries
+            .iter()
+            .map(|(key, entry)| {
+                let open = entry.counted().filter(|end| !explained.contains(&end.id));
+                (*key, open.copied().collect())
+            })
+            .filter(|(_, open): &(SuspectKey, Vec<KnownEnd>)| open.len() >= ENDS_TO_REFUSE)
+            .collect();
+        let is_candidate = |(key, ends): &&(SuspectKey, Vec<KnownEnd>)| {
+            self.is_convicted(*key, ends, explained) && !is_outdone(*key, ends, &open)
+        };
+        let candidates: Vec<&(SuspectKey, Vec<KnownEnd>)> =
+            open.iter().filter(is_candidate).collect();
+        let (_, most) = candidates.iter().max_by_key(|(key, ends)| (ends.len(), *key))?;
+        let ids = |ends: &[KnownEnd]| ends.iter().map(|end| end.id).collect::<HashSet<EndId>>();
+        let (until, explains) = (SuspectEntry::refused_until(most), ids(most));
+        let alike = candidates.iter().filter(|(_, open)| ids(open) == explains);
+        let mut suspects: Vec<SuspectKey> = alike.map(|(key, _)| *key).collect();
+        suspects.sort_unstable();
+        Some(SuspectVerdict { suspects, explains, until })
+    }
+
+    fn is_convicted(&self, key: SuspectKey, open: &[KnownEnd], explained: &HashSet<EndId>) -> bool {
+        if self.now >= SuspectEntry::refused_until(open) {
+            return false;
+        }
+        let calm: Vec<KnownEnd> =
+            open.iter().filter(|end| !end.is_crowded || end.is_proved).copied().collect();
+        let is_enough = match key {
+            SuspectKey::Content(_) => calm.len() >= ENDS_TO_REFUSE,
+            SuspectKey::Part(_) => independent_ends(&calm) >= ENDS_TO_REFUSE,
+        };
+        (is_enough && !SuspectEntry::may_be_burst(key, &calm))
+            || (independent_ends(open) >= ENDS_TO_REFUSE
+                && !SuspectEntry::may_be_burst(key, open)
+                && self.share_of_ends(open, explained) >= MIN_SHARE)
+    }
+
+    /// Share of the targets that ended in the time of some ends, and that no verdict explains, of which these are the
+    /// ends.
+    fn share_of_ends(&self, ends: &[KnownEnd], explained: &HashSet<EndId>) -> f64 {
+        let recent = ends.iter().filter(|end| self.now.since(end.at) <= SHARE_SPAN);
+        let recent: Vec<&KnownEnd> = recent.collect();
+        let (Some(first), Some(last)) =
+            (recent.iter().map(|end| end.at).min(), recent.iter().map(|end| end.at).max())
+        else {
+            return 0.0;
+        };
+        let all = self.timeline.within(earlier(first, CROWD_SPAN), last + CROWD_SPAN);
+        let all = all.filter(|id| !explained.contains(id)).count();
+        recent.len() as f64 / all.max(recent.len()) as f64
+    }
+}
+
+/// Whether another suspect, which may not be convicted yet, explains more ends than a part does, and all of these.
+fn is_outdone(key: SuspectKey, ends: &[KnownEnd], all: &[(SuspectKey, Vec<KnownEnd>)]) -> bool {
+    let includes =
+        |others: &[KnownEnd]| ends.iter().all(|end| others.iter().any(|other| other.id == end.id));
+    matches!(key, SuspectKey::Part(_))
+        && all.iter().any(|(_, others)| others.len() > ends.len() && includes(others))
+}
+
+/// Number of ends under requests that were sent one after the other: of requests that were under way together, a
+/// single event may have cut all off.
+fn independent_ends(ends: &[KnownEnd]) -> usize {
+    let mut in_order: Vec<(MonoTime, Duration)> =
+        ends.iter().map(|end| (end.at, end.held)).collect();
+    in_order.sort_unstable();
+    let (mut count, mut last) = (0, MonoTime::ZERO);
+    for (at, held) in in_order {
+        if count == 0 || earlier(at, held) >= last {
+            (count, last) = (count + 1, at);
+        }
+    }
+    count
+}
+
+/// Finds the ends that came together with many others, which the suspect does not explain.
+pub(super) fn mark_crowded(
+    entries: &mut HashMap<SuspectKey, SuspectEntry>,
+    timeline: &EndTimeline,
+    explained: &HashSet<EndId>,
+    targets: usize,
+) {
+    let coincidence = (targets / TARGETS_FOR_COINCIDENCE).max(1);
+    for entry in entries.values_mut() {
+        let own: Vec<EndId> = entry.ends().map(|end| end.id).collect();
+        for end in entry.calm_mut() {
+            let near = timeline.within(earlier(end.at, CROWD_SPAN), end.at + CROWD_SPAN);
+            let others = near.filter(|id| !own.contains(id) && !explained.contains(id)).count();
+            end.is_crowded = others > coincidence;
+        }
+    }
+}
+
+fn earlier(at: MonoTime, by: Duration) -> MonoTime {
+    MonoTime::ZERO + at.since(MonoTime::ZERO + by)
+}
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -2,7 +2,7 @@
 
 use kwg_model::MonoTime;
 
-use super::{PlacementStep, RoutePlan};
+use super::{AttemptEnd, PlacementStep, RoutePlan};
 use crate::{
     AccountLabel, AttemptEvidence, AttemptPermit, AttemptSample, AttemptVerdict, FinalOutcome,
     GateCore, OpenAttempt, Placement, QueuePosition, RequestDetails, RequestKind, ReservedTarget,
@@ -187,7 +187,9 @@
     /// Records that no connection to a reserved target could be opened. The attempt goes on.
     pub fn record_unreached(&self, core: &mut GateCore, reserved: ReservedTarget, now: MonoTime) {
         let (plan, placement) = (&self.state.plan, reserved.into_placement());
-        core.record_attempt_end(&self.details, plan, &placement, AttemptEvidence::NotSent, now);
+        let evidence = AttemptEvidence::NotSent;
+        let end = AttemptEnd { placement: &placement, has_begun: false, evidence };
+        core.record_attempt_end(&self.details, plan, end, now);
     }
 
     /// Consumes a run and a retry of the budget to send the request to the reserved target as well.
@@ -220,8 +222,9 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> SessionStep {
-        let Dispatched { mut plan, open, placement, .. } = self.state;
-        core.record_attempt_end(&self.details, &plan, &placement, evidence, now);
+        let Dispatched { mut plan, open, placement, has_begun } = self.state;
+        let end = AttemptEnd { placement: &placement, has_begun, evidence };
+        core.record_attempt_end(&self.details, &plan, end, now);
         match open.close(evidence) {
             AttemptVerdict::Retry(permit) => {
                 match core.allow_retry(&self.details, &plan, &permit, evidence, now) {
@@ -288,8 +291,9 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> GateSession<Dispatched> {
-        let HandingOver { mut plan, shared, first, second, .. } = self.state;
-        core.record_attempt_end(&self.details, &plan, &first, evidence, now);
+        let HandingOver { mut plan, shared, first, has_begun, second } = self.state;
+        let end = AttemptEnd { placement: &first, has_begun, evidence };
+        core.record_attempt_end(&self.details, &plan, end, now);
         plan.end_attempt(first.target, evidence, now);
         match evidence {
             AttemptEvidence::Cut => plan.cut_at = Some(now),
@@ -310,7 +314,8 @@
         now: MonoTime,
     ) -> GateSession<Dispatched> {
         let HandingOver { mut plan, shared, first, has_begun, second } = self.state;
-        core.record_attempt_end(&self.details, &plan, &second, evidence, now);
+        let end = AttemptEnd { placement: &second, has_begun: false, evidence };
+        core.record_attempt_end(&self.details, &plan, end, now);
         plan.end_attempt(second.target, evidence, now);
         let open = shared.end_second(evidence);
         let state = Dispatched { plan, open, placement: first, has_begun };
--- a/kwg-gate/src/session/mod.rs
+++ b/kwg-gate/src/session/mod.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a request as a typestate: each filter changes the session's type.
 
+mod attempt_end;
 mod attempt_permit;
 mod final_outcome;
 mod gate_session;
@@ -9,6 +10,7 @@
 mod reserved_target;
 mod route_plan;
 
+pub(crate) use attempt_end::AttemptEnd;
 pub use attempt_permit::{
     AttemptEvidence, AttemptPermit, AttemptVerdict, OpenAttempt, SharedAttempt,
 };
--- a/kwg-gate/src/session/prompt_part.rs
+++ b/kwg-gate/src/session/prompt_part.rs
@@ -1,7 +1,5 @@
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
-
 use crate::stable_hash::StableHash;
 
 /// A part of a prompt that requests share, by the hash of its id and of the model that reads it. All instances and
@@ -14,7 +12,7 @@
 /// assert_ne!(PromptPart::of("m", "5c1e07a2"), PromptPart::of("m", "91bd3f06"));
 /// assert_ne!(PromptPart::of("m", "5c1e07a2"), PromptPart::of("n", "5c1e07a2"));
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PromptPart(u64);
 
 impl fmt::Display for PromptPart {
@@ -31,4 +29,14 @@
         // A byte that occurs in no header separates the two.
         Self(StableHash::of(model.bytes().chain([0]).chain(id)))
     }
+
+    /// The part with this hash.
+    pub(crate) fn from_code(code: u64) -> Self {
+        Self(code)
+    }
+
+    /// The hash as a number.
+    pub(crate) fn code(self) -> u64 {
+        self.0
+    }
 }
--- a/kwg-gate/src/session/request_details.rs
+++ b/kwg-gate/src/session/request_details.rs
@@ -1,6 +1,7 @@
 use kwg_model::MonoTime;
 
 use super::PromptPart;
+use crate::SuspectKey;
 
 /// Details of a request, decoded from its head; the fingerprint is added once the body has been
 /// read.
@@ -26,6 +27,14 @@
     pub fingerprint: u64,
 }
 
+impl RequestDetails {
+    /// What of the request may end the targets that run it.
+    pub fn suspects(&self) -> impl Iterator<Item = SuspectKey> {
+        let parts = self.parts.iter().map(|part| SuspectKey::Part(*part));
+        std::iter::once(SuspectKey::Content(self.fingerprint)).chain(parts)
+    }
+}
+
 /// Size of a generation, in tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TokenCount {
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -95,8 +95,10 @@
     pub load: u32,
     /// Age of the oldest report on which `load` is based.
     pub load_age: Duration,
-    /// Number of ends of the target under this request's content that were known when it was chosen.
+    /// Number of ends of the target that were known when it was chosen.
     pub known_ends: u8,
+    /// When it was chosen.
+    pub chosen: MonoTime,
 }
 
 /// Result of the choice of a target.
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -247,6 +247,7 @@
                     load: state.load(),
                     load_age: state.load_age(now),
                     known_ends: 0,
+                    chosen: now,
                 };
                 best = Some((cost, placement));
             }
--- a/kwg-gate/tests/digests.rs
+++ b/kwg-gate/tests/digests.rs
@@ -155,8 +155,17 @@
         for target in 0..3 {
             let run = TargetRun::of(&format!("i-{content}-{target}"), 1_700_000_000_000);
             let fingerprint = content.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            let key = EndKey { fingerprint, run, ordinal: 0 };
-            ends.push(EndRecord { key, is_void: false, was_answered: false, age_ms: 300_000 });
+            let key = EndKey { suspect: fingerprint.into(), run, ordinal: 0 };
+            ends.push(EndRecord {
+                key,
+                is_void: false,
+                was_answered: false,
+                is_crowded: false,
+                is_proved: false,
+                has_begun: false,
+                held_ms: 500,
+                age_ms: 300_000,
+            });
         }
     }
     GateDigest { run: 7, members: 1, ends, ..GateDigest::default() }
--- a/kwg-gate/tests/next_runs.rs
+++ b/kwg-gate/tests/next_runs.rs
@@ -119,9 +119,13 @@
     };
     // Peers have seen two more targets end under the same request.
     let end = |target: &str| EndRecord {
-        key: EndKey { fingerprint: 1, run: TargetRun::of(target, 1), ordinal: 0 },
+        key: EndKey { suspect: 1.into(), run: TargetRun::of(target, 1), ordinal: 0 },
         is_void: false,
         was_answered: false,
+        is_crowded: false,
+        is_proved: false,
+        has_begun: false,
+        held_ms: 40,
         age_ms: 100,
     };
     let digest = GateDigest { ends: vec![end("i-8"), end("i-9")], ..GateDigest::default() };
--- a/kwg-gate/tests/suspect_records.rs
+++ b/kwg-gate/tests/suspect_records.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    EndFeed, EndRecord, ReleaseCause, SeenEnd, SuspectEvent, SuspectTracker, TargetRun,
+    EndFeed, EndRecord, ReleaseCause, SeenEnd, SuspectEvent, SuspectKey, SuspectTracker, TargetRun,
 };
 use kwg_model::MonoTime;
 use quickcheck::quickcheck;
@@ -17,7 +17,7 @@
 
 fn end(target: u8, ms: u64) -> SeenEnd {
     let run = TargetRun::of(&format!("i-{target}"), 1);
-    SeenEnd { run, ordinal: 0, sent_after: at(ms) }
+    SeenEnd { run, ordinal: 0, sent_after: at(ms), has_begun: false }
 }
 
 fn exchange(from: &SuspectTracker, to: &mut SuspectTracker, now: MonoTime) {
@@ -70,7 +70,8 @@
     own.record_answered(CONTENT, at(300));
     exchange(&own, &mut peer, at(400));
     assert!(!peer.is_refused(CONTENT, at(400)));
-    let released = SuspectEvent::Released { fingerprint: CONTENT, cause: ReleaseCause::Refuted };
+    let released =
+        SuspectEvent::Released { suspects: vec![CONTENT.into()], cause: ReleaseCause::Refuted };
     assert_eq!(peer.review(at(400)).last(), Some(&released));
 }
 
@@ -132,12 +133,16 @@
     let mut tracker = SuspectTracker::default();
     let run = end(0, 0).run;
     for round in 0..3 {
-        let ordinal = tracker.known_ends(CONTENT, run);
+        let ordinal = tracker.known_ends(run);
         assert_eq!(ordinal, round);
         // Two equal requests are under way.
         for _ in 0..2 {
             let ms = u64::from(round) * 4_000;
-            tracker.record_end(CONTENT, SeenEnd { run, ordinal, sent_after: at(ms) }, at(ms));
+            tracker.record_end(
+                CONTENT,
+                SeenEnd { run, ordinal, sent_after: at(ms), has_begun: false },
+                at(ms),
+            );
         }
     }
     assert_eq!(tracker.count(CONTENT), 3);
@@ -194,7 +199,7 @@
     let mut feed = EndFeed::default();
     let first = feed.take(&records, 0);
     assert!(first.len() <= 64, "{} records", first.len());
-    let of_content = first.iter().filter(|record| record.key.fingerprint == CONTENT);
+    let of_content = first.iter().filter(|record| record.key.suspect == CONTENT.into());
     assert_eq!(of_content.count(), 2);
     let mut sent = first.len();
     while feed.has_news(&records) {
@@ -214,17 +219,20 @@
     let records: Vec<EndRecord> = tracker.records(at(10)).collect();
     assert_eq!(feed.take(&records, 8).len(), 40);
     assert!(!feed.has_news(&records));
-    let mut repeated: Vec<u64> = Vec::new();
+    let mut repeated: Vec<SuspectKey> = Vec::new();
     for _ in 0..5 {
-        repeated.extend(feed.take(&records, 8).iter().map(|record| record.key.fingerprint));
+        repeated.extend(feed.take(&records, 8).iter().map(|record| record.key.suspect));
     }
     repeated.sort_unstable();
-    assert_eq!(repeated, (0..40).collect::<Vec<u64>>());
+    assert_eq!(repeated, (0..40).map(SuspectKey::Content).collect::<Vec<SuspectKey>>());
     tracker.record_answered(3, at(20));
     let records: Vec<EndRecord> = tracker.records(at(20)).collect();
     assert!(feed.has_news(&records));
     let taken = feed.take(&records, 0);
-    assert_eq!(taken.iter().map(|record| record.key.fingerprint).collect::<Vec<_>>(), [3]);
+    assert_eq!(
+        taken.iter().map(|record| record.key.suspect).collect::<Vec<_>>(),
+        [SuspectKey::Content(3)]
+    );
 }
 
 /// Contents, counts and refusals of a tracker.
--- a/kwg-gateway/src/traffic/request_pipeline.rs
+++ b/kwg-gateway/src/traffic/request_pipeline.rs
@@ -175,10 +175,11 @@
         details: &RequestDetails,
         relay: &mut AnswerRelay<'_>,
     ) -> PipelineEnd {
-        let (version, ends) = {
+        let (version, ends, verdict) = {
             let core = self.state.core.borrow();
             let version = core.table().map(|table| table.version());
-            (version, core.suspects().count(details.fingerprint))
+            let verdict = core.verdict_on(details, self.state.clock.now()).cloned();
+            (version, core.suspects().count(details.fingerprint), verdict)
         };
         let line = EventLine::new("request-ended")
             .field("id", &details.id)
@@ -189,6 +190,10 @@
             .field("fingerprint", format_args!("{:016x}", details.fingerprint))
             .field("parts", SuspectFields::parts(details))
             .field("ends", ends);
+        let line = match &verdict {
+            Some(verdict) => SuspectFields::add_verdict(line, &verdict.suspects),
+            None => line,
+        };
         log::info!("{line}");
         self.state.metrics.record_refusal(outcome.as_str());
         match relay.send_outcome(outcome, &details.id).await {
--- a/kwg-gateway/src/traffic/suspect_fields.rs
+++ b/kwg-gateway/src/traffic/suspect_fields.rs
@@ -1,6 +1,6 @@
-use std::fmt::Write;
+use std::fmt::Display;
 
-use kwg_gate::RequestDetails;
+use kwg_gate::{RequestDetails, SuspectKey};
 use kwg_telemetry::EventLine;
 
 /// The fields of log lines from which it can be seen why targets end under a request.
@@ -16,14 +16,17 @@
             .field("begun", has_begun)
     }
 
+    /// Adds what requests must have to be refused.
+    pub(crate) fn add_verdict(line: EventLine, suspects: &[SuspectKey]) -> EventLine {
+        line.field("suspects", Self::list(suspects))
+    }
+
     /// The shared parts of the prompt, separated by commas.
     pub(crate) fn parts(details: &RequestDetails) -> String {
-        let mut text = String::new();
-        for part in &details.parts {
-            let comma = if text.is_empty() { "" } else { "," };
-            // Writing to a string cannot fail.
-            write!(text, "{comma}{part}").unwrap_or_default();
-        }
-        text
+        Self::list(&details.parts)
+    }
+
+    fn list(items: &[impl Display]) -> String {
+        items.iter().map(ToString::to_string).collect::<Vec<String>>().join(",")
     }
 }
--- a/kwg-gateway/src/traffic/suspect_log.rs
+++ b/kwg-gateway/src/traffic/suspect_log.rs
@@ -1,6 +1,7 @@
-use kwg_gate::{EndSource, ReleaseCause, SuspectEvent};
+use kwg_gate::{EndSource, ReleaseCause, SuspectEvent, SuspectKey};
 use kwg_telemetry::EventLine;
 
+use super::suspect_fields::SuspectFields;
 use super::traffic_state::TrafficState;
 
 impl TrafficState {
@@ -19,8 +20,14 @@
         match event {
             SuspectEvent::EndKnown { key, target, source, count } => {
                 let target = target.as_ref().map_or("unknown", |target| target.as_str());
-                let line = EventLine::new("target-ended-under")
-                    .field("fingerprint", format_args!("{:016x}", key.fingerprint))
+                let line = EventLine::new("target-ended-under");
+                let line = match key.suspect {
+                    SuspectKey::Content(fingerprint) => {
+                        line.field("fingerprint", format_args!("{fingerprint:016x}"))
+                    }
+                    SuspectKey::Part(part) => line.field("part", part),
+                };
+                let line = line
                     .field("target", target)
                     .field("run", key.run)
                     .field("nth", key.ordinal)
@@ -33,14 +40,15 @@
                 };
                 self.metrics.record_target_end(seen_by);
             }
-            SuspectEvent::Refused { fingerprint, count } => {
-                let line = EventLine::new("content-refused");
-                let line = line.field("fingerprint", format_args!("{fingerprint:016x}"));
-                log::warn!("{}", line.field("ends", count));
+            SuspectEvent::Refused(verdict) => {
+                let line = SuspectFields::add_verdict(
+                    EventLine::new("suspect-refused"),
+                    &verdict.suspects,
+                );
+                log::warn!("{}", line.field("ends", verdict.ends()));
             }
-            SuspectEvent::Released { fingerprint, cause } => {
-                let line = EventLine::new("content-released");
-                let line = line.field("fingerprint", format_args!("{fingerprint:016x}"));
+            SuspectEvent::Released { suspects, cause } => {
+                let line = SuspectFields::add_verdict(EventLine::new("suspect-released"), suspects);
                 let line = match cause {
                     ReleaseCause::Refuted => line.field("cause", "refuted"),
                     ReleaseCause::Expired(quiet) => {
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -207,6 +207,7 @@
         exchange: &mut TargetExchange<'_>,
         relay: &mut AnswerRelay<'_>,
     ) -> Result<Option<(ReservedTarget, TargetLink)>, AttemptStop> {
+        let mut has_begun = exchange.has_begun();
         loop {
             let silence_end = exchange.silent_since() + STREAM_SILENCE;
             let reserve = self.reserve_other(session, silence_end.max(exchange.next_check()));
@@ -226,6 +227,11 @@
                     FillStep::Reserved(reserved) => return Ok(Some(reserved)),
                 }
             }
+            if !has_begun {
+                has_begun = true;
+                let now = self.state.clock.now();
+                self.state.core.borrow_mut().record_begun(session.details(), now);
+            }
         }
     }
 
