--- a/knapweedglade/tests/poison_requests.rs
+++ b/knapweedglade/tests/poison_requests.rs
@@ -1,51 +1,24 @@
 //! Nine gateways stop a request that ends the runners that run it, and serve the others.
 
+#[path = "support/runner_keeper.rs"]
+mod runner_keeper;
 mod support;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use kwg_standin::{FatalEnd, RunnerStandin, SampleFleet, StoreStandin};
+use kwg_standin::{FatalEnd, RunnerStandin, SampleFleet};
+use runner_keeper::{DOWN_TIME, keep_alive};
 use support::{GatewayChild, call_at, request, wait_until};
 
 const GATEWAYS: usize = 9;
 const RUNNERS: usize = 8;
-/// Time until a runner that has ended is back.
-const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Time after the third end from which no gateway may send the request.
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 /// Interval of the callers of the request.
 const INTERVAL: Duration = Duration::from_millis(400);
 
-/// Brings runners back that have ended: each other time under another name, otherwise as another run of the same one.
-fn keep_alive(store: &StoreStandin, runners: &[RunnerStandin], is_over: &AtomicBool) {
-    let mut names: Vec<String> = (0..runners.len()).map(|number| format!("i-{number}")).collect();
-    let mut down: Vec<Option<Instant>> = vec![None; runners.len()];
-    let mut born = 1_u64;
-    while !is_over.load(Ordering::Relaxed) {
-        for (index, runner) in runners.iter().enumerate() {
-            match down[index] {
-                None if runner.is_down() => down[index] = Some(Instant::now()),
-                Some(since) if since.elapsed() >= DOWN_TIME => {
-                    born += 1;
-                    if born.is_multiple_of(2) {
-                        store.put("servers", &names[index], None);
-                        names[index] = format!("i-{index}-{born}");
-                    }
-                    let mut entry = SampleFleet::entry(runner, "ready");
-                    entry["born"] = born.into();
-                    store.put("servers", &names[index], Some(entry.to_string().as_bytes()));
-                    runner.revive();
-                    down[index] = None;
-                }
-                _ => {}
-            }
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// Number of requests with this path that have reached runners.
 fn runs(runners: &[RunnerStandin], path: &str) -> usize {
     let of_path = |runner: &RunnerStandin| {
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -222,9 +222,7 @@
         let Some(service) = route.service_for(draw) else {
             return Err(FinalOutcome::refused(RefusalReason::NoRoute));
         };
-        if self.refuses(details, now) {
-            return Err(FinalOutcome::refused(RefusalReason::Suspect));
-        }
+        let trial_after = self.admit_suspect(details, now)?;
         self.budget.record_request(service, now);
         let quota = account.and_then(|account| account.quota);
         let units = quota.map_or(0, |quota| quota.units(details.tokens));
@@ -241,6 +239,7 @@
             account: account.map(|account| account.label.clone()),
             units,
             rank,
+            trial_after,
             ..RoutePlan::new(&table, route, service, details)
         };
         Ok((plan, route.max_attempts))
@@ -263,7 +262,7 @@
         let decision = self.choose_target(plan, permit, &query, draw, now);
         let outcome = match decision {
             _ if now >= plan.due => FinalOutcome::refused(RefusalReason::TimedOut),
-            _ if self.refuses(details, now) => FinalOutcome::refused(RefusalReason::Suspect),
+            _ if self.refuses(details, plan, now) => FinalOutcome::refused(RefusalReason::Suspect),
             _ if self.has_ended(now) => FinalOutcome::stopping(),
             PlacementDecision::Send(placement)
                 if !permit.may_have_run() && self.would_be_cut(&query, &placement, now) =>
@@ -344,7 +343,7 @@
         evidence: AttemptEvidence,
         now: MonoTime,
     ) -> Result<(), FinalOutcome> {
-        let refusal = match self.refuses(details, now) {
+        let refusal = match self.refuses(details, plan, now) {
             true => FinalOutcome::refused(RefusalReason::Suspect),
             false
                 if !evidence.needs_budget()
--- a/kwg-gate/src/gate_core/second_target.rs
+++ b/kwg-gate/src/gate_core/second_target.rs
@@ -41,7 +41,7 @@
         now: MonoTime,
     ) -> Option<Placement> {
         let query = self.placement_query(details, plan, excluded, now);
-        let is_allowed = !self.refuses(details, now)
+        let is_allowed = !self.refuses(details, plan, now)
             && self.budget.has_room(&plan.service, self.budget_instances(), now);
         match self.targets.place(&query, now, draw) {
             PlacementDecision::Send(placement) if is_allowed => {
@@ -61,6 +61,7 @@
         plan: &RoutePlan,
         now: MonoTime,
     ) -> bool {
-        !self.refuses(details, now) && self.budget.take(&plan.service, self.budget_instances(), now)
+        !self.refuses(details, plan, now)
+            && self.budget.take(&plan.service, self.budget_instances(), now)
     }
 }
--- a/kwg-gate/src/gate_core/suspects.rs
+++ b/kwg-gate/src/gate_core/suspects.rs
@@ -2,10 +2,11 @@
 
 use super::GateCore;
 use crate::poison::SilentRun;
-use crate::session::AttemptEnd;
+use crate::session::{AttemptEnd, RoutePlan};
 use crate::{
-    AttemptEvidence, AttemptSample, EndRecord, Placement, RequestDetails, SeenEnd, SuspectEvent,
-    SuspectKey, SuspectTracker, SuspectVerdict, TargetKey, TargetRun,
+    AttemptEvidence, AttemptSample, EndRecord, FinalOutcome, Placement, RefusalReason,
+    RequestDetails, SeenEnd, SuspectEvent, SuspectKey, SuspectTracker, SuspectVerdict, TargetKey,
+    TargetRun,
 };
 
 /// Maximum number of silent runs that wait to be confirmed.
@@ -25,8 +26,28 @@
 
     /// Whether a request must not be sent to any target, because targets have ended under it. Each way to a target
     /// asks this: at admission, when a target is chosen, and last before the first byte is written.
-    pub(crate) fn refuses(&self, details: &RequestDetails, now: MonoTime) -> bool {
-        self.verdict_on(details, now).is_some()
+    pub(crate) fn refuses(
+        &self,
+        details: &RequestDetails,
+        plan: &RoutePlan,
+        now: MonoTime,
+    ) -> bool {
+        let verdict = self.verdict_on(details, now);
+        verdict.is_some_and(|verdict| plan.trial_after != Some(verdict.ends()))
+    }
+
+    /// Whether a request that arrives must not be sent; if it is sent nevertheless, to find out whether the verdict is
+    /// right, the number of ends on which that is based.
+    pub(super) fn admit_suspect(
+        &self,
+        details: &RequestDetails,
+        now: MonoTime,
+    ) -> Result<Option<usize>, FinalOutcome> {
+        let Some(verdict) = self.verdict_on(details, now) else { return Ok(None) };
+        match self.suspects.allows_trial(verdict, details.draw(), now) {
+            true => Ok(Some(verdict.ends())),
+            false => Err(FinalOutcome::refused(RefusalReason::Suspect)),
+        }
     }
 
     /// Why a request must not be sent to any target.
--- a/kwg-gate/src/poison/end_timeline.rs
+++ b/kwg-gate/src/poison/end_timeline.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Whether no target has ended lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     /// Forgets old ends.
     pub(super) fn expire(&mut self, now: MonoTime) {
         while self.ends.front().is_some_and(|(at, _)| now.since(*at) > KEPT_FOR) {
--- a/kwg-gate/src/poison/suspect_entry.rs
+++ b/kwg-gate/src/poison/suspect_entry.rs
@@ -45,7 +45,9 @@
     pub(super) held: Duration,
     pub(super) is_void: bool,
     pub(super) was_answered: bool,
-    /// Whether other targets ended with it without the suspect.
+    /// Whether other targets ended with it without the suspect, as far as that is known now.
+    pub(super) is_near_others: bool,
+    /// The same once all instances know which others ended with it.
     pub(super) is_crowded: bool,
     /// Whether it counts nevertheless, since the suspect has explained enough of the ends at that time.
     pub(super) is_proved: bool,
@@ -56,6 +58,11 @@
 }
 
 impl KnownEnd {
+    /// Whether it may be that of an event in which many targets ended.
+    pub(super) fn may_be_shared(&self) -> bool {
+        (self.is_crowded || self.is_near_others) && !self.is_proved
+    }
+
     /// Whether an answer of the run to a request that was sent at this moment shows that it had not ended.
     pub(super) fn is_refuted_by(&self, sent: MonoTime) -> bool {
         self.at < sent && sent < self.at + RESTART_TIME
@@ -105,9 +112,9 @@
         proved.for_each(|end| end.is_proved = true);
     }
 
-    /// The ends that are not known to have come with others.
-    pub(super) fn calm_mut(&mut self) -> impl Iterator<Item = &mut KnownEnd> {
-        self.ends.iter_mut().filter(|end| !end.is_crowded)
+    /// All ends, to be changed.
+    pub(super) fn ends_mut(&mut self) -> impl Iterator<Item = &mut KnownEnd> {
+        self.ends.iter_mut()
     }
 
     /// The ends that count.
--- a/kwg-gate/src/poison/suspect_event.rs
+++ b/kwg-gate/src/poison/suspect_event.rs
@@ -3,7 +3,7 @@
 use crate::{EndKey, SuspectKey, SuspectVerdict, TargetId};
 
 /// A change of what is known of a request that may end its targets, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum SuspectEvent {
     /// An end of a target is known.
     EndKnown {
--- a/kwg-gate/src/poison/suspect_tracker.rs
+++ b/kwg-gate/src/poison/suspect_tracker.rs
@@ -6,7 +6,7 @@
 use super::answer_memory::AnswerMemory;
 use super::end_timeline::EndTimeline;
 use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
-use super::verdict_review::{ReviewResult, VerdictReview, mark_crowded};
+use super::verdict_review::{ReviewResult, VerdictReview, is_settled, mark_crowded};
 use crate::{
     EndKey, EndRecord, EndSource, PromptPart, ReleaseCause, SuspectEvent, SuspectKey,
     SuspectVerdict, TargetRun,
@@ -91,6 +91,7 @@
                 // Meanwhile another target has answered it.
                 is_void: answered.is_some_and(|at| at >= sent_after),
                 was_answered: Self::is_recent(answered, now),
+                is_near_others: false,
                 is_crowded: false,
                 is_proved: false,
                 has_begun: end.has_begun,
@@ -120,6 +121,7 @@
                 held: record.held(),
                 is_void: record.is_void || answered.is_some_and(|answered| answered >= at),
                 was_answered: record.was_answered || Self::is_recent(answered, at),
+                is_near_others: false,
                 is_crowded: record.is_crowded,
                 is_proved: record.is_proved,
                 has_begun: record.has_begun,
@@ -197,6 +199,13 @@
         in_force.into_iter().find(|verdict| verdict.suspects.iter().all(|key| has(*key)))
     }
 
+    /// Whether a request that a verdict refuses may be sent to find out whether the verdict is right; `draw` is random in
+    /// [0, 1).
+    #[must_use]
+    pub fn allows_trial(&self, verdict: &SuspectVerdict, draw: f64, now: MonoTime) -> bool {
+        verdict.allows_trial(draw, now + CLOCK_OFFSET)
+    }
+
     /// Number of ends that count against a suspect.
     #[must_use]
     pub fn count(&self, suspect: impl Into<SuspectKey>) -> usize {
@@ -228,8 +237,9 @@
         self.timeline.expire(now);
         self.suspects.values_mut().for_each(SuspectEntry::share);
         self.suspects.retain(|_, entry| !entry.is_empty() && !entry.has_expired(now));
-        if !self.review.verdicts.is_empty() {
+        if !self.review.verdicts.is_empty() || !self.timeline.is_empty() {
             self.judge(now);
+            self.settle(now);
         }
         std::mem::take(&mut self.events)
     }
@@ -275,13 +285,6 @@
         let Self { suspects, timeline, review, targets, .. } = self;
         mark_crowded(suspects, timeline, &review.explained, *targets);
         let found = VerdictReview { entries: suspects, timeline, now }.run();
-        for (suspect, entry) in suspects {
-            let convicting =
-                found.verdicts.iter().find(|verdict| verdict.suspects.contains(suspect));
-            if let Some(verdict) = convicting {
-                entry.prove(|id| verdict.explains.contains(id));
-            }
-        }
         let before = std::mem::replace(&mut self.review, found);
         let has = |verdicts: &[SuspectVerdict], of: &SuspectVerdict| {
             verdicts.iter().any(|verdict| verdict.suspects == of.suspects)
@@ -307,6 +310,21 @@
         added.into_iter().for_each(|verdict| self.push_event(SuspectEvent::Refused(verdict)));
     }
 
+    /// Notes with the ends what later reviews cannot find, because they know less of what happened at that time.
+    fn settle(&mut self, now: MonoTime) {
+        for (suspect, entry) in &mut self.suspects {
+            let settled = entry.ends_mut().filter(|end| is_settled(end, now));
+            settled.for_each(|end| end.is_crowded |= end.is_near_others);
+            let verdicts = &self.review.verdicts;
+            let convicted = verdicts.iter().find(|verdict| verdict.suspects.contains(suspect));
+            if let Some(verdict) = convicted
+                && entry.counted().all(|end| is_settled(end, now))
+            {
+                entry.prove(|id| verdict.explains.contains(id));
+            }
+        }
+    }
+
     fn make_room(&mut self) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
--- a/kwg-gate/src/poison/suspect_verdict.rs
+++ b/kwg-gate/src/poison/suspect_verdict.rs
@@ -1,15 +1,25 @@
 use std::collections::HashSet;
+use std::time::Duration;
 
 use kwg_model::MonoTime;
 
 use super::SuspectKey;
 use super::suspect_entry::EndId;
 
+/// Time from the last end to the first trial. Each trial under which another target ends makes the next one wait
+/// `TRIAL_GROWTH` times as long.
+const FIRST_TRIAL: Duration = Duration::from_millis(800);
+const TRIAL_GROWTH: u32 = 5;
+/// Time in which all instances know of the end of a target.
+const KNOWN_TIME: Duration = Duration::from_millis(500);
+/// Mean number of requests that are sent in `KNOWN_TIME` once a trial is due.
+const TRIAL_SENDS: f64 = 1.0;
+
 /// Requests that are refused: those that have all of these suspects.
 ///
 /// Several suspects that have ended the same targets cannot be told apart until a request comes that has only one of
 /// them, so such a request is sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct SuspectVerdict {
     /// What a request must have to be refused, in order.
     pub suspects: Vec<SuspectKey>,
@@ -17,6 +27,18 @@
     pub(super) explains: HashSet<EndId>,
     /// Until when it holds.
     pub(super) until: MonoTime,
+    /// What a trial goes by; none if there is no doubt.
+    pub(super) doubt: Option<VerdictDoubt>,
+}
+
+/// A verdict that may be wrong: the suspect was answered before, or many targets ended at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct VerdictDoubt {
+    pub(super) last_end: MonoTime,
+    /// Number of trials under which a target has ended.
+    pub(super) failed_trials: u32,
+    /// Requests in a second, by the ends.
+    pub(super) rate: f64,
 }
 
 impl SuspectVerdict {
@@ -25,4 +47,20 @@
     pub fn ends(&self) -> usize {
         self.explains.len()
     }
+
+    /// Whether a request may be sent to find out whether the verdict is right. `draw` is random in [0, 1): since
+    /// instances do not wait for each other, each sends so few that all together seldom send two.
+    pub(super) fn allows_trial(&self, draw: f64, now: MonoTime) -> bool {
+        let Some(doubt) = self.doubt else { return false };
+        let wait = FIRST_TRIAL * TRIAL_GROWTH.saturating_pow(doubt.failed_trials);
+        let expected = doubt.rate * KNOWN_TIME.as_secs_f64();
+        now >= doubt.last_end + wait && draw * expected < TRIAL_SENDS
+    }
+}
+
+impl VerdictDoubt {
+    /// Time between the end that convicted a suspect and the first one that can be that of a trial.
+    pub(super) fn first_trial() -> Duration {
+        FIRST_TRIAL
+    }
 }
--- a/kwg-gate/src/poison/verdict_review.rs
+++ b/kwg-gate/src/poison/verdict_review.rs
@@ -5,6 +5,7 @@
 
 use super::end_timeline::EndTimeline;
 use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
+use super::suspect_verdict::VerdictDoubt;
 use super::{SuspectKey, SuspectVerdict};
 
 /// Number of ends from which on a suspect is convicted.
@@ -15,6 +16,13 @@
 const SHARE_SPAN: Duration = Duration::from_secs(10);
 /// Time between two ends of one cause, such as a crash of a failure domain, as instances see them.
 const CROWD_SPAN: Duration = Duration::from_millis(250);
+/// Time after an end by which all instances know which others ended with it, as far as they reach each other.
+const SETTLE_TIME: Duration = Duration::from_millis(450);
+/// Minimum time between two ends of different causes. A request that is sent elsewhere in the middle of a crash of
+/// many targets may be cut off again at once.
+const CAUSE_GAP: Duration = Duration::from_millis(20);
+/// Minimum span of time from which the rate of requests is estimated.
+const MIN_RATE_SPAN: Duration = Duration::from_millis(200);
 /// Number of targets, for one of which ends at the same time that a suspect does not explain are a coincidence.
 const TARGETS_FOR_COINCIDENCE: usize = 20;
 
@@ -70,23 +78,26 @@
         let alike = candidates.iter().filter(|(_, open)| ids(open) == explains);
         let mut suspects: Vec<SuspectKey> = alike.map(|(key, _)| *key).collect();
         suspects.sort_unstable();
-        Some(SuspectVerdict { suspects, explains, until })
+        Some(SuspectVerdict { suspects, explains, until, doubt: doubt(most) })
     }
 
     fn is_convicted(&self, key: SuspectKey, open: &[KnownEnd], explained: &HashSet<EndId>) -> bool {
         if self.now >= SuspectEntry::refused_until(open) {
             return false;
         }
-        let calm: Vec<KnownEnd> =
-            open.iter().filter(|end| !end.is_crowded || end.is_proved).copied().collect();
+        let calm: Vec<KnownEnd> = open.iter().filter(|end| !end.may_be_shared()).copied().collect();
         let is_enough = match key {
             SuspectKey::Content(_) => calm.len() >= ENDS_TO_REFUSE,
-            SuspectKey::Part(_) => independent_ends(&calm) >= ENDS_TO_REFUSE,
+            SuspectKey::Part(_) => independent_ends(&calm, CAUSE_GAP) >= ENDS_TO_REFUSE,
         };
-        (is_enough && !SuspectEntry::may_be_burst(key, &calm))
-            || (independent_ends(open) >= ENDS_TO_REFUSE
-                && !SuspectEntry::may_be_burst(key, open)
-                && self.share_of_ends(open, explained) >= MIN_SHARE)
+        if is_enough && !SuspectEntry::may_be_burst(key, &calm) {
+            return true;
+        }
+        let settled = open.iter().filter(|end| is_settled(end, self.now));
+        let settled: Vec<KnownEnd> = settled.copied().collect();
+        independent_ends(&settled, CROWD_SPAN) >= ENDS_TO_REFUSE
+            && !SuspectEntry::may_be_burst(key, &settled)
+            && self.share_of_ends(&settled, explained) >= MIN_SHARE
     }
 
     /// Share of the targets that ended in the time of some ends, and that no verdict explains, of which these are the
@@ -105,6 +116,25 @@
     }
 }
 
+/// What a trial of a verdict goes by, if these ends leave a doubt.
+fn doubt(ends: &[KnownEnd]) -> Option<VerdictDoubt> {
+    if !ends
+        .iter()
+        .any(|end| end.is_crowded || end.is_near_others || end.was_answered || end.has_begun)
+    {
+        return None;
+    }
+    let mut times: Vec<MonoTime> = ends.iter().map(|end| end.at).collect();
+    times.sort_unstable();
+    let (first, last) = (*times.first()?, *times.last()?);
+    let convicted = *times.get(ENDS_TO_REFUSE - 1)?;
+    let trials: Vec<MonoTime> =
+        times.iter().copied().filter(|at| *at >= convicted + VerdictDoubt::first_trial()).collect();
+    let failed_trials = u32::try_from(trials.len()).unwrap_or(u32::MAX);
+    let span = convicted.since(first).max(MIN_RATE_SPAN).as_secs_f64();
+    Some(VerdictDoubt { last_end: last, failed_trials, rate: ENDS_TO_REFUSE as f64 / span })
+}
+
 /// Whether another suspect, which may not be convicted yet, explains more ends than a part does, and all of these.
 fn is_outdone(key: SuspectKey, ends: &[KnownEnd], all: &[(SuspectKey, Vec<KnownEnd>)]) -> bool {
     let includes =
@@ -113,21 +143,26 @@
         && all.iter().any(|(_, others)| others.len() > ends.len() && includes(others))
 }
 
-/// Number of ends under requests that were sent one after the other: of requests that were under way together, a
-/// single event may have cut all off.
-fn independent_ends(ends: &[KnownEnd]) -> usize {
+/// Number of ends under requests that were sent one after the other, at least `gap` apart: of requests that were under
+/// way together, a single event may have cut all off.
+fn independent_ends(ends: &[KnownEnd], gap: Duration) -> usize {
     let mut in_order: Vec<(MonoTime, Duration)> =
         ends.iter().map(|end| (end.at, end.held)).collect();
     in_order.sort_unstable();
     let (mut count, mut last) = (0, MonoTime::ZERO);
     for (at, held) in in_order {
-        if count == 0 || earlier(at, held) >= last {
+        if count == 0 || (earlier(at, held) >= last && at >= last + gap) {
             (count, last) = (count + 1, at);
         }
     }
     count
 }
 
+/// Whether all instances know which others ended with an end, as far as they reach each other.
+pub(super) fn is_settled(end: &KnownEnd, now: MonoTime) -> bool {
+    now.since(end.at) >= SETTLE_TIME
+}
+
 /// Finds the ends that came together with many others, which the suspect does not explain.
 pub(super) fn mark_crowded(
     entries: &mut HashMap<SuspectKey, SuspectEntry>,
@@ -136,14 +171,35 @@
     targets: usize,
 ) {
     let coincidence = (targets / TARGETS_FOR_COINCIDENCE).max(1);
+    let in_chains = chained_ends(entries);
     for entry in entries.values_mut() {
         let own: Vec<EndId> = entry.ends().map(|end| end.id).collect();
-        for end in entry.calm_mut() {
+        for end in entry.ends_mut() {
             let near = timeline.within(earlier(end.at, CROWD_SPAN), end.at + CROWD_SPAN);
-            let others = near.filter(|id| !own.contains(id) && !explained.contains(id)).count();
-            end.is_crowded = others > coincidence;
+            let others = near.filter(|id| {
+                !own.contains(id) && !explained.contains(id) && !in_chains.contains(id)
+            });
+            end.is_near_others = others.count() > coincidence;
+        }
+    }
+}
+
+/// Ends that follow each other closely under one suspect: they are its doing rather than that of an event in which many
+/// targets end at once.
+fn chained_ends(entries: &HashMap<SuspectKey, SuspectEntry>) -> HashSet<EndId> {
+    let mut chained = HashSet::new();
+    for entry in entries.values() {
+        let mut ends: Vec<&KnownEnd> = entry.counted().collect();
+        ends.sort_unstable_by_key(|end| end.at);
+        for pair in ends.windows(2) {
+            let [first, second] = pair else { continue };
+            let is_near = second.at <= first.at + CROWD_SPAN;
+            if is_near && independent_ends(&[**first, **second], CAUSE_GAP) == 2 {
+                chained.extend([first.id, second.id]);
+            }
         }
     }
+    chained
 }
 
 fn earlier(at: MonoTime, by: Duration) -> MonoTime {
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -166,7 +166,7 @@
     /// the request.
     #[must_use]
     pub fn may_reach(&self, core: &GateCore, target: TargetKey, now: MonoTime) -> bool {
-        core.targets().is_open(target, now) && !core.refuses(&self.details, now)
+        core.targets().is_open(target, now) && !core.refuses(&self.details, &self.state.plan, now)
     }
 
     /// Reserves another target with a free slot, if the request may be sent there although this one
--- a/kwg-gate/src/session/request_details.rs
+++ b/kwg-gate/src/session/request_details.rs
@@ -1,3 +1,5 @@
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
 use kwg_model::MonoTime;
 
 use super::PromptPart;
@@ -28,6 +30,14 @@
 }
 
 impl RequestDetails {
+    /// Number in [0, 1) that stays the same for the request.
+    pub(crate) fn draw(&self) -> f64 {
+        const BITS: u32 = 53;
+        let mut hasher = DefaultHasher::new();
+        (&self.id, self.arrived).hash(&mut hasher);
+        (hasher.finish() >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+    }
+
     /// What of the request may end the targets that run it.
     pub fn suspects(&self) -> impl Iterator<Item = SuspectKey> {
         let parts = self.parts.iter().map(|part| SuspectKey::Part(*part));
--- a/kwg-gate/src/session/route_plan.rs
+++ b/kwg-gate/src/session/route_plan.rs
@@ -1,4 +1,3 @@
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::time::Duration;
 
 use kwg_model::MonoTime;
@@ -65,6 +64,9 @@
     pub(crate) cut_at: Option<MonoTime>,
     /// When its last attempt ended.
     pub(crate) attempt_ended: MonoTime,
+    /// Number of ends that spoke against the request when it was admitted to find out whether they are its doing; none if
+    /// nothing did.
+    pub(crate) trial_after: Option<usize>,
 }
 
 impl RoutePlan {
@@ -89,7 +91,7 @@
             on_engine: engine.is_some(),
             tokens_per_event: engine.map_or(1.0, |engine| engine.tokens_per_event),
             due: details.deadline.min(details.arrived + route.timeout),
-            version_draw: version_draw(details),
+            version_draw: details.draw(),
             tried: Vec::new(),
             ran: Vec::new(),
             declined: None,
@@ -98,6 +100,7 @@
             retry_taken: None,
             cut_at: None,
             attempt_ended: details.arrived,
+            trial_after: None,
         }
     }
 
@@ -182,11 +185,3 @@
         self.waits_since + self.due.since(self.waits_since).saturating_sub(expected)
     }
 }
-
-/// A number in [0, 1) for a request. Callers may send the same id again, so its arrival counts as well.
-fn version_draw(details: &RequestDetails) -> f64 {
-    const BITS: u32 = 53;
-    let mut hasher = DefaultHasher::new();
-    (&details.id, details.arrived).hash(&mut hasher);
-    (hasher.finish() >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
-}
--- a/kwg-gate/tests/support/part_site.rs
+++ b/kwg-gate/tests/support/part_site.rs
@@ -99,6 +99,11 @@
     /// Adds equal requests that end their targets.
     pub fn poison_content(&mut self, content: u64, parts: &[Named], rate: f64) {
         self.fleet.poison.insert(content);
+        self.equal_calls(content, parts, rate);
+    }
+
+    /// Adds equal sound requests.
+    pub fn equal_calls(&mut self, content: u64, parts: &[Named], rate: f64) {
         self.streams.push(Stream { parts: parts.to_vec(), rate, content: Some(content) });
     }
 
--- a/kwg-gate/tests/suspect_parts.rs
+++ b/kwg-gate/tests/suspect_parts.rs
@@ -154,8 +154,10 @@
             }
         }
     }
-    assert!(tracker.is_refused(part("p"), at(2_000)));
-    assert!(tracker.is_refused(part("q"), at(2_000)));
+    // By then it is known which others ended with the last ones.
+    tracker.review(at(2_300));
+    assert!(tracker.is_refused(part("p"), at(2_300)));
+    assert!(tracker.is_refused(part("q"), at(2_300)));
     assert!(tracker.is_refused(part("p"), at(60_000)), "also when the other ends are forgotten");
     let mut restarted = SuspectTracker::default();
     let records: Vec<EndRecord> = tracker.records(at(60_000)).collect();
@@ -206,3 +208,61 @@
     assert!(tracker.is_refused(part("p"), at(1_000)));
     assert!(!tracker.is_refused(part("p"), at(1_000) + Duration::from_secs(600)));
 }
+
+/// A tracker with a part that was answered long before three ends convicted it, and the time of the last one.
+fn doubtful() -> (SuspectTracker, u64) {
+    let mut tracker = SuspectTracker::default();
+    begun(&mut tracker, "p", 0);
+    for round in 0..3 {
+        cut(&mut tracker, &format!("i-{round}"), &[part("p")], 1_000 + round * 1_000);
+    }
+    (tracker, 3_000)
+}
+
+fn allows_trial(tracker: &SuspectTracker, draw: f64, ms: u64) -> bool {
+    let verdict = tracker.verdict_on(|key| key == part("p"), at(ms)).expect("refused");
+    tracker.allows_trial(verdict, draw, at(ms))
+}
+
+#[test]
+fn a_request_is_sent_to_find_out_whether_a_doubtful_verdict_is_right() {
+    let (mut tracker, last) = doubtful();
+    assert!(!allows_trial(&tracker, 0.0, last + 700));
+    assert!(allows_trial(&tracker, 0.0, last + 800));
+    assert!(allows_trial(&tracker, 0.5, last + 800), "the part is rare");
+    begun(&mut tracker, "p", last + 1_050);
+    assert!(!tracker.is_refused(part("p"), at(last + 1_050)));
+}
+
+#[test]
+fn each_trial_that_ends_a_target_makes_the_next_one_wait_longer() {
+    let (mut tracker, mut last) = doubtful();
+    for wait in [800, 4_000, 20_000, 100_000] {
+        assert!(!allows_trial(&tracker, 0.0, last + wait - 100), "{wait}");
+        assert!(allows_trial(&tracker, 0.0, last + wait), "{wait}");
+        last += wait + 50;
+        cut(&mut tracker, &format!("t-{wait}"), &[part("p")], last);
+        assert!(!allows_trial(&tracker, 0.0, last + 10), "{wait}");
+    }
+}
+
+#[test]
+fn a_verdict_without_doubt_has_no_trial() {
+    let mut tracker = SuspectTracker::default();
+    for round in 0..3 {
+        cut(&mut tracker, &format!("i-{round}"), &[part("p")], 1_000 + round * 1_000);
+    }
+    assert!(!allows_trial(&tracker, 0.0, 500_000));
+}
+
+#[test]
+fn of_frequent_requests_few_are_sent_in_a_trial() {
+    let mut tracker = SuspectTracker::default();
+    begun(&mut tracker, "p", 0);
+    for round in 0..9 {
+        cut(&mut tracker, &format!("i-{round}"), &[part("p")], 1_000 + round * 100);
+    }
+    // Three in 0.2 s: more than seven in the time in which all instances know of an end, and one is to be sent.
+    assert!(!allows_trial(&tracker, 0.2, 6_000));
+    assert!(allows_trial(&tracker, 0.1, 6_000));
+}
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -241,7 +241,9 @@
                 return drain(reader);
             }
             state.received.push(ReceivedRequest { head: head.clone(), body });
-            let fatal = state.fatal.clone().filter(|(text, _)| head.target.contains(text.as_str()));
+            let parts = head.headers.get("X-Knapweedglade-Prefix-Hash").unwrap_or("");
+            let is_fatal = |text: &str| head.target.contains(text) || parts.contains(text);
+            let fatal = state.fatal.clone().filter(|(text, _)| is_fatal(text));
             fatal.map(|(_, end)| end)
         };
         if let Some(end) = fatal {
