fix(kwg-gateway): a stream that ends within an event has been broken off, however its body is framed

Callers got an incomplete last event as if it were whole, when a target ended its body properly in the middle of an event: with a length or chunks, the rest was sent on and the stream ended as complete; a hand-over took such an end for proof of an answer. Streams without length were taken as cut already. Now the same holds for all framings: the stream is resumed after its last whole event where that is allowed, else it ends visibly cut. A whole comment at the end is no event. That a reset before the close of a body without length is no whole answer held before; it has a test now.

--- a/kwg-gateway/src/traffic/event_splitter.rs
+++ b/kwg-gateway/src/traffic/event_splitter.rs
@@ -81,10 +81,11 @@
     }
 
     /// Whether the bytes so far end within an event, also if none follow. A CR that has been left for
-    /// later ends the event then.
+    /// later ends the event then. A whole comment is no event.
     pub(crate) fn is_within_event(&self) -> bool {
-        let has_text = self.pending.iter().any(|byte| !matches!(byte, b'\n' | b'\r'));
-        has_text && !(self.at_line_start && self.pending[self.searched..] == *b"\r")
+        let is_within_line = self.pending.last().is_some_and(|byte| !is_line_end(byte));
+        (has_field(&self.pending) || is_within_line)
+            && !(self.at_line_start && self.pending[self.searched..] == *b"\r")
     }
 
     /// Takes the buffered bytes of an incomplete event, which the end of the answer completes.
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -214,16 +214,15 @@
             let mut reserve = pin!(reserve);
             while !exchange.forward(relay).await? {
                 if exchange.is_done() {
-                    return Ok(None);
+                    return Self::end_stream(exchange, relay).map(|()| None);
                 }
                 let fill = async { exchange.fill().await.map(FillStep::Filled) };
                 let reserved = async { Ok(FillStep::Reserved(reserve.as_mut().await)) };
                 match fill.or(reserved).await? {
                     FillStep::Filled(true) => {}
-                    FillStep::Filled(false) if relay.is_within_event() => {
-                        return Err(exchange.cut_event().into());
+                    FillStep::Filled(false) => {
+                        return Self::end_stream(exchange, relay).map(|()| None);
                     }
-                    FillStep::Filled(false) => return Ok(None),
                     FillStep::Reserved(reserved) => return Ok(Some(reserved)),
                 }
             }
@@ -235,6 +234,17 @@
         }
     }
 
+    /// Ends a stream whose body has ended. Within an event it has been broken off, also if the body is whole.
+    fn end_stream(
+        exchange: &mut TargetExchange<'_>,
+        relay: &AnswerRelay<'_>,
+    ) -> Result<(), AttemptStop> {
+        match relay.is_within_event() {
+            true => Err(exchange.cut_event().into()),
+            false => Ok(()),
+        }
+    }
+
     /// How long to wait for the reply's head, and from then for the rest of an answer that is no stream,
     /// before another target is asked.
     fn answer_silence(session: &GateSession<Dispatched>) -> Duration {
--- a/kwg-gateway/src/traffic/target_exchange.rs
+++ b/kwg-gateway/src/traffic/target_exchange.rs
@@ -152,7 +152,11 @@
             let decoded = self.reply.as_ref().map_or(&[][..], |reply| &reply.decoded[searched..]);
             searched += decoded.len();
             match events.push(decoded) {
-                Ok(_) if events.count() > before || self.is_done() => return Ok(()),
+                Ok(_) if events.count() > before => return Ok(()),
+                Ok(_) if self.is_done() && events.is_within_event() => {
+                    return Err(self.cut_event());
+                }
+                Ok(_) if self.is_done() => return Ok(()),
                 Ok(_) if searched > MAX_FIRST_BYTES => {
                     return Err(self.reply_reader().reject("no event among the first bytes"));
                 }
@@ -262,9 +266,9 @@
         self.reply_reader().reject(format_args!("status {} is no valid answer", head.status))
     }
 
-    /// Logs that a stream without length ended within an event.
+    /// Logs that a stream ended within an event.
     pub(crate) fn cut_event(&mut self) -> AttemptEvidence {
-        self.reply_reader().cut("the connection ended within an event")
+        self.reply_reader().cut("the stream ended within an event")
     }
 
     /// The measurements of a complete answer.
--- a/kwg-gateway/tests/unit/event_splitter.rs
+++ b/kwg-gateway/tests/unit/event_splitter.rs
@@ -85,3 +85,18 @@
         assert!(!splitter.is_within_event(), "{event:?} and an empty line");
     }
 }
+
+#[test]
+fn a_whole_comment_at_the_end_is_no_event_that_was_broken_off() {
+    for (text, is_within) in [
+        (": ping\n", false),
+        (": ping\r\n", false),
+        (": pi", true),
+        (": ping\ndata", true),
+        ("\r", false),
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(format!("id: 1\ndata: a\n\n{text}").as_bytes()).expect("short");
+        assert_eq!(splitter.is_within_event(), is_within, "{text:?}");
+    }
+}
--- a/kwg-standin/src/lib.rs
+++ b/kwg-standin/src/lib.rs
@@ -21,5 +21,5 @@
 pub use reference_answer::ReferenceAnswer;
 pub use wire::{
     EndlessReply, FatalEnd, ReceivedRequest, RunnerMode, RunnerStandin, SampleFleet, StoreMode,
-    StoreStandin,
+    StoreStandin, StreamFraming,
 };
--- a/kwg-standin/src/wire.rs
+++ b/kwg-standin/src/wire.rs
@@ -6,6 +6,7 @@
 mod runner_standin;
 mod sample_fleet;
 mod store_standin;
+mod stream_framing;
 mod wire_server;
 
 pub use endless_reply::EndlessReply;
@@ -13,3 +14,4 @@
 pub use runner_standin::{ReceivedRequest, RunnerMode, RunnerStandin};
 pub use sample_fleet::SampleFleet;
 pub use store_standin::{StoreMode, StoreStandin};
+pub use stream_framing::StreamFraming;
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -8,7 +8,7 @@
 
 use super::runner_reply::{reply_to, send_endless, stream_events};
 use super::wire_server::{RequestReader, serve};
-use super::{EndlessReply, FatalEnd};
+use super::{EndlessReply, FatalEnd, StreamFraming};
 
 /// How a runner responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -33,6 +33,10 @@
     /// As [`Self::DisconnectMidStream`], with a stream that has no length and ends with its connection,
     /// after a pause of this many milliseconds within the event.
     DisconnectUnframed(u64),
+    /// Ends a stream that is whole by its length or its last chunk within its third event.
+    EndWithinEvent(StreamFraming),
+    /// Sends two events of a stream without length, and resets the connection.
+    ResetUnframed,
     /// Sends a second answer right after the first.
     AnswerTwice,
     /// Answers without the seal header.
@@ -196,6 +200,17 @@
     ended
 }
 
+/// Two events of a stream.
+const WHOLE_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+/// The same and a part of the third.
+const CUT_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda";
+
+/// Resets a connection instead of closing it.
+fn reset(stream: &TcpStream) -> io::Result<()> {
+    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
+    Ok(())
+}
+
 /// Reads what the peer sends until it closes the connection.
 fn drain(reader: &mut RequestReader) -> io::Result<()> {
     while reader.next()?.is_some() {}
@@ -338,6 +353,21 @@
                 reader.stream.write_all(&head[..length.min(head.len() - 2)])?;
                 return reader.stream.shutdown(Shutdown::Write);
             }
+            RunnerMode::EndWithinEvent(framing) => {
+                let mut reply = reply_to(&id, mode);
+                reply.field("Content-Type", "text/event-stream");
+                framing.send(&mut reader.stream, reply, CUT_EVENTS)?;
+            }
+            RunnerMode::ResetUnframed => {
+                let mut reply = reply_to(&id, mode);
+                reply.field("Content-Type", "text/event-stream");
+                reply.field("Connection", "close");
+                let events = WHOLE_EVENTS.as_bytes();
+                reader.stream.write_all(&[&reply.finish(), events].concat())?;
+                // What has arrived is read before the reset.
+                std::thread::sleep(Duration::from_millis(100));
+                return reset(&reader.stream);
+            }
             _ if head.target.starts_with("/stream/") => {
                 if !stream_events(reader, &head, &id, mode)? {
                     return Ok(());
