--- a/knapweedglade/tests/hostile_replies.rs
+++ b/knapweedglade/tests/hostile_replies.rs
@@ -72,6 +72,20 @@
     });
 }
 
+#[test]
+fn answers_without_end_of_many_runners_at_once_are_bounded_in_memory() {
+    let fleet = TestFleet::start("endless-many", 12);
+    for part in [EndlessReply::Body, EndlessReply::UnframedBody, EndlessReply::LongBody] {
+        fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::Endless(part)));
+        let answers = call_at_once(&fleet, "/scan/a", &format!("{part:?}-"));
+        let resident = fleet.gateway.resident_bytes();
+        assert!(resident < MEMORY_MB << 20, "{part:?}: {resident} bytes");
+        for (answer, _) in &answers {
+            assert!(!(answer.status == 200 && answer.is_complete), "{part:?}: a false success");
+        }
+    }
+}
+
 #[test]
 fn a_declined_request_does_not_wait_for_the_end_of_the_reply() {
     let fleet = TestFleet::start("declined", 1);
