--- a/kwg-gate/src/gate_core/suspects.rs
+++ b/kwg-gate/src/gate_core/suspects.rs
@@ -5,7 +5,7 @@
 use crate::session::{AttemptEnd, RoutePlan};
 use crate::{
     AttemptEvidence, AttemptSample, EndRecord, FinalOutcome, Placement, RefusalReason,
-    RequestDetails, SeenEnd, SuspectEvent, SuspectKey, SuspectTracker, SuspectVerdict, TargetKey,
+    RefusedGroup, RequestDetails, SeenEnd, SuspectEvent, SuspectKey, SuspectTracker, TargetKey,
     TargetRun,
 };
 
@@ -52,7 +52,7 @@
 
     /// Why a request must not be sent to any target.
     #[must_use]
-    pub fn verdict_on(&self, details: &RequestDetails, now: MonoTime) -> Option<&SuspectVerdict> {
+    pub fn verdict_on(&self, details: &RequestDetails, now: MonoTime) -> Option<&RefusedGroup> {
         self.suspects.verdict_on(|key| details.suspects().any(|own| own == key), now)
     }
 
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -37,8 +37,8 @@
     TargetCode, TargetReport,
 };
 pub use poison::{
-    EndFeed, EndKey, EndRecord, EndSource, ReleaseCause, SeenEnd, SuspectEvent, SuspectKey,
-    SuspectTracker, SuspectVerdict, TargetRun,
+    EndFeed, EndKey, EndRecord, EndSource, RefusedGroup, ReleaseCause, SeenEnd, SuspectEvent,
+    SuspectKey, SuspectTracker, TargetRun,
 };
 pub use registry::{DomainDistance, DomainMap, TargetEntry, TargetRegistry};
 pub use replica::{
--- a/kwg-gate/src/poison/suspect_verdict.rs
+++ b/kwg-gate/src/poison/refused_group.rs
@@ -15,12 +15,12 @@
 /// Mean number of requests that are sent in `KNOWN_TIME` once a trial is due.
 const TRIAL_SENDS: f64 = 1.0;
 
-/// Requests that are refused: those that have all of these suspects.
+/// The requests that have all of some suspects, and are refused.
 ///
 /// Several suspects that have ended the same targets cannot be told apart until a request comes that has only one of
 /// them, so such a request is sent.
 #[derive(Debug, Clone, PartialEq)]
-pub struct SuspectVerdict {
+pub struct RefusedGroup {
     /// What a request must have to be refused, in order.
     pub suspects: Vec<SuspectKey>,
     /// The ends of targets that speak for it.
@@ -41,7 +41,7 @@
     pub(super) rate: f64,
 }
 
-impl SuspectVerdict {
+impl RefusedGroup {
     /// Number of ends of targets that speak for it.
     #[must_use]
     pub fn ends(&self) -> usize {
--- a/kwg-gate/src/poison/suspect_event.rs
+++ b/kwg-gate/src/poison/suspect_event.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::{EndKey, SuspectKey, SuspectVerdict, TargetId};
+use crate::{EndKey, RefusedGroup, SuspectKey, TargetId};
 
 /// A change of what is known of a request that may end its targets, for the log.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,7 +17,7 @@
         count: usize,
     },
     /// Requests are refused from now on.
-    Refused(SuspectVerdict),
+    Refused(RefusedGroup),
     /// They are no longer refused.
     Released {
         /// What they have.
--- a/kwg-gate/src/poison/suspect_tracker.rs
+++ b/kwg-gate/src/poison/suspect_tracker.rs
@@ -8,8 +8,8 @@
 use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
 use super::verdict_review::{ReviewResult, VerdictReview, is_settled, mark_crowded};
 use crate::{
-    EndKey, EndRecord, EndSource, PromptPart, ReleaseCause, SuspectEvent, SuspectKey,
-    SuspectVerdict, TargetRun,
+    EndKey, EndRecord, EndSource, PromptPart, RefusedGroup, ReleaseCause, SuspectEvent, SuspectKey,
+    TargetRun,
 };
 
 /// Maximum number of suspects. Those that are not refused are dropped first, of these the ones that were cut off in the
@@ -193,7 +193,7 @@
         &self,
         has: impl Fn(SuspectKey) -> bool,
         now: MonoTime,
-    ) -> Option<&SuspectVerdict> {
+    ) -> Option<&RefusedGroup> {
         let now = now + CLOCK_OFFSET;
         let in_force = self.review.verdicts.iter().filter(|verdict| now < verdict.until);
         in_force.into_iter().find(|verdict| verdict.suspects.iter().all(|key| has(*key)))
@@ -202,7 +202,7 @@
     /// Whether a request that a verdict refuses may be sent to find out whether the verdict is right; `draw` is random in
     /// [0, 1).
     #[must_use]
-    pub fn allows_trial(&self, verdict: &SuspectVerdict, draw: f64, now: MonoTime) -> bool {
+    pub fn allows_trial(&self, verdict: &RefusedGroup, draw: f64, now: MonoTime) -> bool {
         verdict.allows_trial(draw, now + CLOCK_OFFSET)
     }
 
@@ -286,7 +286,7 @@
         mark_crowded(suspects, timeline, &review.explained, *targets, now);
         let found = VerdictReview { entries: suspects, timeline, now }.run();
         let before = std::mem::replace(&mut self.review, found);
-        let has = |verdicts: &[SuspectVerdict], of: &SuspectVerdict| {
+        let has = |verdicts: &[RefusedGroup], of: &RefusedGroup| {
             verdicts.iter().any(|verdict| verdict.suspects == of.suspects)
         };
         for verdict in &before.verdicts {
@@ -300,7 +300,7 @@
             }
         }
         let added = self.review.verdicts.iter().filter(|verdict| !has(&before.verdicts, verdict));
-        let added: Vec<SuspectVerdict> = added.cloned().collect();
+        let added: Vec<RefusedGroup> = added.cloned().collect();
         if !added.is_empty() {
             let Self { suspects, review, .. } = self;
             suspects.retain(|_, entry| {
--- a/kwg-gate/src/poison/verdict_review.rs
+++ b/kwg-gate/src/poison/verdict_review.rs
@@ -4,9 +4,9 @@
 use kwg_model::MonoTime;
 
 use super::end_timeline::EndTimeline;
+use super::refused_group::VerdictDoubt;
 use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
-use super::suspect_verdict::VerdictDoubt;
-use super::{SuspectKey, SuspectVerdict};
+use super::{RefusedGroup, SuspectKey};
 
 /// Number of ends from which on a suspect is convicted.
 const ENDS_TO_REFUSE: usize = 3;
@@ -40,7 +40,7 @@
 /// What a review has found.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ReviewResult {
-    pub(super) verdicts: Vec<SuspectVerdict>,
+    pub(super) verdicts: Vec<RefusedGroup>,
     /// Ends that a verdict explains.
     pub(super) explained: HashSet<EndId>,
 }
@@ -59,7 +59,7 @@
 
     /// The suspects that explain most of the ends that are not explained. If there are several, their
     /// order decides, so that all instances with the same evidence find the same ones.
-    fn strongest(&self, explained: &HashSet<EndId>) -> Option<SuspectVerdict> {
+    fn strongest(&self, explained: &HashSet<EndId>) -> Option<RefusedGroup> {
         let open: Vec<(SuspectKey, Vec<KnownEnd>)> = self
             .entries
             .iter()
@@ -80,7 +80,7 @@
         let alike = candidates.iter().filter(|(_, open)| ids(open) == explains);
         let mut suspects: Vec<SuspectKey> = alike.map(|(key, _)| *key).collect();
         suspects.sort_unstable();
-        Some(SuspectVerdict { suspects, explains, until, doubt: doubt(most) })
+        Some(RefusedGroup { suspects, explains, until, doubt: doubt(most) })
     }
 
     fn is_convicted(&self, key: SuspectKey, open: &[KnownEnd], explained: &HashSet<EndId>) -> bool {
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -65,7 +65,7 @@
         registry.register("targets_doubtful", help, doubtful.clone());
         let help = "Ends of targets under requests, by who has seen them";
         registry.register("target_ends", help, target_ends.clone());
-        let help = "Contents that are refused because targets have ended under them";
+        let help = "Contents, parts of prompts, and groups of them that are refused because targets have ended under them";
         registry.register("refused_contents", help, refused_contents.clone());
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
