--- a/kwg-gate/src/poison/end_timeline.rs
+++ b/kwg-gate/src/poison/end_timeline.rs
@@ -3,7 +3,7 @@
 
 use kwg_model::MonoTime;
 
-use super::suspect_entry::EndId;
+use super::end_id::EndId;
 
 /// Maximum number of ends.
 const MAX_ENDS: usize = 512;
--- a/kwg-gate/src/poison/mod.rs
+++ b/kwg-gate/src/poison/mod.rs
@@ -5,16 +5,20 @@
 
 mod answer_memory;
 mod end_feed;
+mod end_id;
 mod end_record;
 mod end_timeline;
+mod known_end;
 mod packed_end;
 mod refused_group;
+mod review_result;
 mod silent_run;
 mod suspect_entry;
 mod suspect_event;
 mod suspect_key;
 mod suspect_tracker;
 mod target_run;
+mod verdict_doubt;
 mod verdict_review;
 
 pub use end_feed::EndFeed;
--- a/kwg-gate/src/poison/suspect_entry.rs
+++ b/kwg-gate/src/poison/suspect_entry.rs
@@ -2,6 +2,8 @@
 
 use kwg_model::MonoTime;
 
+use super::end_id::EndId;
+use super::known_end::KnownEnd;
 use crate::{EndKey, EndRecord, SuspectKey, TargetRun};
 
 /// Time after the last end for which a suspect is refused. Then it may be sent again, and one more end is enough.
@@ -15,60 +17,17 @@
 const CONTENT_BURST: Duration = Duration::from_secs(3);
 /// The same of a part. All instances know by then of an answer that has cleared one that many requests have.
 const PART_BURST: Duration = Duration::from_millis(700);
-/// Shortest time in which a target that has ended is back. An answer to a request that was sent sooner shows that the
-/// target had not ended.
-const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of ends that are remembered of a content.
 const MAX_CONTENT_ENDS: usize = 16;
 /// Maximum number of ends that are remembered of a part: as many as targets that may end before all instances know.
 const MAX_PART_ENDS: usize = 64;
 
-/// Identifies one end of a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(super) struct EndId {
-    pub(super) run: TargetRun,
-    pub(super) ordinal: u8,
-}
-
 /// What is known of one suspect.
 #[derive(Debug, Clone, Default)]
 pub(super) struct SuspectEntry {
     ends: Vec<KnownEnd>,
 }
 
-/// An end of a target under a suspect.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct KnownEnd {
-    pub(super) id: EndId,
-    pub(super) at: MonoTime,
-    /// Time for which the request had been at the target.
-    pub(super) held: Duration,
-    pub(super) is_void: bool,
-    pub(super) was_answered: bool,
-    /// Whether other targets ended with it without the suspect, as far as that is known now.
-    pub(super) is_near_others: bool,
-    /// The same once all instances know which others ended with it.
-    pub(super) is_crowded: bool,
-    /// Whether it counts nevertheless, since the suspect has explained enough of the ends at that time.
-    pub(super) is_proved: bool,
-    /// Whether the target had begun its answer.
-    pub(super) has_begun: bool,
-    /// Whether a peer may know of it.
-    pub(super) is_shared: bool,
-}
-
-impl KnownEnd {
-    /// Whether it may be that of an event in which many targets ended.
-    pub(super) fn may_be_shared(&self) -> bool {
-        (self.is_crowded || self.is_near_others) && !self.is_proved
-    }
-
-    /// Whether an answer of the run to a request that was sent at this moment shows that it had not ended.
-    pub(super) fn is_refuted_by(&self, sent: MonoTime) -> bool {
-        self.at < sent && sent < self.at + RESTART_TIME
-    }
-}
-
 impl SuspectEntry {
     /// Maximum number of ends that are remembered of a suspect.
     pub(super) fn max_ends(suspect: SuspectKey) -> usize {
@@ -173,7 +132,7 @@
 
     /// Whether an answer to a request that was sent at this moment may show that a run lives on.
     pub(super) fn is_refutable(&self, sent: MonoTime) -> bool {
-        self.counted().any(|end| sent < end.at + RESTART_TIME)
+        self.counted().any(|end| end.is_refutable_by(sent))
     }
 
     /// Drops the ends that no peer knows and that do not count; the others are to be shared.
--- a/kwg-gate/src/poison/suspect_tracker.rs
+++ b/kwg-gate/src/poison/suspect_tracker.rs
@@ -4,9 +4,12 @@
 use kwg_model::MonoTime;
 
 use super::answer_memory::AnswerMemory;
+use super::end_id::EndId;
 use super::end_timeline::EndTimeline;
-use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
-use super::verdict_review::{ReviewResult, VerdictReview, is_settled, mark_crowded};
+use super::known_end::KnownEnd;
+use super::review_result::ReviewResult;
+use super::suspect_entry::SuspectEntry;
+use super::verdict_review::{VerdictReview, is_settled, mark_crowded};
 use crate::{
     EndKey, EndRecord, EndSource, PromptPart, RefusedGroup, ReleaseCause, SuspectEvent, SuspectKey,
     TargetRun,
@@ -188,6 +191,23 @@
     }
 
     /// Why a request with the suspects for which `has` holds must not be sent to a target.
+    ///
+    /// ```
+    /// use kwg_gate::{PromptPart, SeenEnd, SuspectKey, SuspectTracker, TargetRun};
+    /// use kwg_model::MonoTime;
+    ///
+    /// let part = SuspectKey::from(PromptPart::of("m", "5c1e07a2"));
+    /// let mut tracker = SuspectTracker::default();
+    /// for (content, target) in [(1, "i-1"), (2, "i-2"), (3, "i-3")] {
+    ///     let at = MonoTime::from_millis(1_000 * content);
+    ///     let run = TargetRun::of(target, 1);
+    ///     let end = SeenEnd { run, ordinal: 0, sent_after: at, has_begun: false };
+    ///     tracker.record_end_under(&[content.into(), part], end, at);
+    /// }
+    /// let now = MonoTime::from_millis(3_000);
+    /// let refused = tracker.verdict_on(|suspect| suspect == part, now).expect("three ends");
+    /// assert_eq!((refused.suspects.as_slice(), refused.ends()), (&[part][..], 3));
+    /// ```
     #[must_use]
     pub fn verdict_on(
         &self,
--- a/kwg-gate/src/poison/verdict_review.rs
+++ b/kwg-gate/src/poison/verdict_review.rs
@@ -3,9 +3,12 @@
 
 use kwg_model::MonoTime;
 
+use super::end_id::EndId;
 use super::end_timeline::EndTimeline;
-use super::refused_group::VerdictDoubt;
-use super::suspect_entry::{EndId, KnownEnd, SuspectEntry};
+use super::known_end::KnownEnd;
+use super::review_result::ReviewResult;
+use super::suspect_entry::SuspectEntry;
+use super::verdict_doubt::VerdictDoubt;
 use super::{RefusedGroup, SuspectKey};
 
 /// Number of ends from which on a suspect is convicted.
@@ -37,14 +40,6 @@
     pub(super) now: MonoTime,
 }
 
-/// What a review has found.
-#[derive(Debug, Clone, Default)]
-pub(super) struct ReviewResult {
-    pub(super) verdicts: Vec<RefusedGroup>,
-    /// Ends that a verdict explains.
-    pub(super) explained: HashSet<EndId>,
-}
-
 impl VerdictReview<'_> {
     /// Convicts suspects until none is left that explains enough of the other ends.
     pub(super) fn run(&self) -> ReviewResult {
