--- /dev/null
+++ b/review/lab/src/runner.rs
@@ -0,0 +1,145 @@
+//! Runners, as PROTOCOL tells.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use kwg_h1::{HeadWriter, RequestHead};
+use serde_json::{Value, json};
+
+use crate::http::Connection;
+
+/// A request that has reached a runner.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    pub id: String,
+    /// Whether the runner has sent its whole answer.
+    pub is_answered: bool,
+}
+
+/// A runner: it declines what names another instance, and runs everything else.
+#[derive(Clone)]
+pub struct Runner {
+    pub id: String,
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    work: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    arrivals: Vec<Arrival>,
+    has_exited: bool,
+    connections: Vec<TcpStream>,
+}
+
+impl Runner {
+    /// Starts a runner whose requests take `work`.
+    pub fn start(id: &str, address: SocketAddr, work: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let runner = Self { id: id.to_owned(), address, state: Arc::default(), work };
+        let serving = runner.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if serving.with(|state| state.has_exited) {
+                    // The listener is dropped: the port resets connections from here on.
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    serving.with(|state| state.connections.push(copy));
+                }
+                let runner = serving.clone();
+                thread::spawn(move || runner.serve(&mut Connection::new(stream)));
+            }
+        });
+        Ok(runner)
+    }
+
+    fn with<T>(&self, apply: impl FnOnce(&mut State) -> T) -> T {
+        apply(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// All requests that have reached the runner and named it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.with(|state| state.arrivals.clone())
+    }
+
+    /// The runner exits, with all of its connections and its listener.
+    pub fn exit(&self) {
+        self.with(|state| {
+            state.has_exited = true;
+            for connection in state.connections.drain(..) {
+                connection.shutdown(Shutdown::Both).ok();
+            }
+        });
+        // Ends the wait for a connection.
+        drop(TcpStream::connect(self.address));
+    }
+
+    /// Its entry in the table `servers`.
+    pub fn entry(&self, slots: u32) -> Value {
+        json!({ "service": "app", "address": self.address.to_string(), "zone": "ost-graz",
+            "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seqNo": 1,
+            "born": 1_790_000_000_000_u64 })
+    }
+
+    fn serve(&self, connection: &mut Connection) -> io::Result<()> {
+        connection.stream.set_nodelay(true)?;
+        while let Some((head, _)) = connection.next_request()? {
+            let id = head.headers.get("X-Knapweedglade-Request-Id").unwrap_or("").to_owned();
+            let expected = head.headers.get("X-Knapweedglade-Expect-Instance");
+            if expected.is_some_and(|expected| expected != self.id) {
+                let mut reply = HeadWriter::reply(421);
+                reply.field("X-Knapweedglade-Instance-Id", &self.id);
+                connection.send(&reply.finish_with(b""))?;
+                continue;
+            }
+            let arrival = Arrival { at: Instant::now(), id: id.clone(), is_answered: false };
+            let index = self.with(|state| {
+                state.arrivals.push(arrival);
+                state.arrivals.len() - 1
+            });
+            thread::sleep(self.work);
+            let reply = answer(&head, &id);
+            connection.send(&reply)?;
+            if !self.with(|state| state.has_exited) {
+                self.with(|state| state.arrivals[index].is_answered = true);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Number of events of a stream.
+const EVENTS: u32 = 6;
+
+/// The answer to a request; for a stream, the events after `Last-Event-Id`. A stream of which no event is
+/// left is answered 204, as a server of event streams does.
+fn answer(head: &RequestHead, id: &str) -> Vec<u8> {
+    let reply = |status| {
+        let mut reply = HeadWriter::reply(status);
+        reply.field("X-Knapweedglade-Request-Id", id);
+        reply.field("X-Knapweedglade-Server-Seal", "seal");
+        reply
+    };
+    if !head.target.starts_with("/stream/") {
+        return reply(200).finish_with(format!("answer to {id}").as_bytes());
+    }
+    let last = head.headers.get("Last-Event-Id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    if last >= EVENTS {
+        return reply(204).finish();
+    }
+    let mut reply = reply(200);
+    reply.field("Content-Type", "text/event-stream");
+    reply.field("Transfer-Encoding", "chunked");
+    let mut bytes = reply.finish();
+    for event in last + 1..=EVENTS {
+        HeadWriter::write_chunk(format!("id: {event}\ndata: piece\n\n").as_bytes(), &mut bytes);
+    }
+    bytes.extend_from_slice(HeadWriter::LAST_CHUNK);
+    bytes
+}
