--- a/review/lab/src/lab.rs
+++ b/review/lab/src/lab.rs
@@ -97,7 +97,7 @@
         Ok(Fleet { store, runners: running, gateways: started })
     }
 
-    fn address(&mut self, port: u16) -> io::Result<SocketAddr> {
+    pub fn address(&mut self, port: u16) -> io::Result<SocketAddr> {
         let ip = self.next_ip();
         format!("{ip}:{port}").parse().map_err(|error| io::Error::other(format!("{error}")))
     }
@@ -107,6 +107,18 @@
         writeln!(self.record, "{line}")
     }
 
+    /// Starts one more gateway and waits until it is ready.
+    pub fn start_gateway(&mut self, fleet: &mut Fleet) -> io::Result<()> {
+        let ip = self.next_ip();
+        let (root, folder) = (&self.root, &self.folder);
+        let place = Place { root, folder, ip, store: fleet.store.address };
+        let gateway =
+            Gateway::start(&format!("front-ost-graz-{}", fleet.gateways.len() + 1), &place)?;
+        gateway.wait_ready()?;
+        fleet.gateways.push(gateway);
+        Ok(())
+    }
+
     /// A moment, in seconds since the start of the scenario.
     pub fn seconds(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.start).as_secs_f64()
@@ -163,12 +175,17 @@
 
     /// Sends a request and reads its answer.
     pub fn call(&mut self, request: &[u8]) -> Answer {
+        self.call_within(request, Duration::from_secs(4))
+    }
+
+    /// As [`Self::call`], with a time limit for the answer.
+    pub fn call_within(&mut self, request: &[u8], limit: Duration) -> Answer {
         let kept = self.connection.take().or_else(|| Connection::open(self.address).ok());
         let Some(mut connection) = kept else { return Answer::default() };
         if connection.send(request).is_err() {
             return Answer::default();
         }
-        let answer = connection.answer(Duration::from_secs(4));
+        let answer = connection.answer(limit);
         if answer.is_whole && answer.head.as_ref().is_some_and(|head| head.keeps_alive) {
             self.connection = Some(connection);
         }
--- a/review/lab/src/main.rs
+++ b/review/lab/src/main.rs
@@ -8,6 +8,8 @@
 mod http;
 mod lab;
 mod no_content;
+mod odd_key;
+mod repeated;
 mod runner;
 mod store;
 
@@ -38,6 +40,8 @@
         "drain" => drain::run(&mut lab),
         "config" => config::run(&mut lab),
         "no-content" => no_content::run(&mut lab),
+        "repeated" => repeated::run(&mut lab),
+        "odd-key" => odd_key::run(&mut lab),
         _ => return Err(io::Error::other("unknown scenario")),
     }?;
     lab.finish(verdict)?;
--- a/review/lab/src/runner.rs
+++ b/review/lab/src/runner.rs
@@ -16,8 +16,8 @@
 pub struct Arrival {
     pub at: Instant,
     pub id: String,
-    /// Whether the runner has sent its whole answer.
-    pub is_answered: bool,
+    pub body: String,
+    pub tenant: String,
 }
 
 /// A runner: it declines what names another instance, and runs everything else.
@@ -53,7 +53,13 @@
                     serving.with(|state| state.connections.push(copy));
                 }
                 let runner = serving.clone();
-                thread::spawn(move || runner.serve(&mut Connection::new(stream)));
+                thread::spawn(move || {
+                    let mut connection = Connection::new(stream);
+                    let served = runner.serve(&mut connection);
+                    // The connection stays open as long as there is a copy of it.
+                    connection.stream.shutdown(Shutdown::Both).ok();
+                    served
+                });
             }
         });
         Ok(runner)
@@ -89,7 +95,7 @@
 
     fn serve(&self, connection: &mut Connection) -> io::Result<()> {
         connection.stream.set_nodelay(true)?;
-        while let Some((head, _)) = connection.next_request()? {
+        while let Some((head, body)) = connection.next_request()? {
             let id = head.headers.get("X-Knapweedglade-Request-Id").unwrap_or("").to_owned();
             let expected = head.headers.get("X-Knapweedglade-Expect-Instance");
             if expected.is_some_and(|expected| expected != self.id) {
@@ -98,17 +104,12 @@
                 connection.send(&reply.finish_with(b""))?;
                 continue;
             }
-            let arrival = Arrival { at: Instant::now(), id: id.clone(), is_answered: false };
-            let index = self.with(|state| {
-                state.arrivals.push(arrival);
-                state.arrivals.len() - 1
-            });
+            let tenant = head.headers.get("X-Knapweedglade-Tenant").unwrap_or("").to_owned();
+            let body = String::from_utf8_lossy(&body).into_owned();
+            let arrival = Arrival { at: Instant::now(), id: id.clone(), body, tenant };
+            self.with(|state| state.arrivals.push(arrival));
             thread::sleep(self.work);
-            let reply = answer(&head, &id);
-            connection.send(&reply)?;
-            if !self.with(|state| state.has_exited) {
-                self.with(|state| state.arrivals[index].is_answered = true);
-            }
+            connection.send(&answer(&head, &id))?;
         }
         Ok(())
     }
