--- a/review/lab/src/config.rs
+++ b/review/lab/src/config.rs
@@ -73,7 +73,7 @@
     lab.note(format_args!("version 7 acknowledged at {:.3}", lab.seconds(acknowledged)))?;
     let runs: Vec<_> = fleet.runners.iter().flat_map(|runner| runner.arrivals()).collect();
     // A machine in touch: for contactMs its connections were not reset, which the silence counts as.
-    let since = (silence + CONTACT).max(acknowledged + APPLY) + MARGIN;
+    let since = (silence + CONTACT + MARGIN).max(acknowledged + APPLY);
     let (mut dropped_keys, mut missing_routes) = (0, 0);
     for Call { sent, what, id, gateway, status } in &calls {
         let has_run = runs.iter().any(|run| run.id == *id);
