--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -1,3 +1,4 @@
+mod admission;
 mod attempt_ends;
 mod decision_clock;
 mod joining;
@@ -5,6 +6,7 @@
 mod planned_stop;
 mod second_target;
 mod suspects;
+mod target_selection;
 mod unreached_log;
 mod version_moves;
 
@@ -17,12 +19,12 @@
 use self::decision_clock::DecisionClock;
 use self::unreached_log::UnreachedLog;
 use crate::poison::SilentRun;
-use crate::session::{PlacementStep, RoutePlan};
+use crate::session::RoutePlan;
 use crate::{
-    AttemptEvidence, AttemptPermit, FinalOutcome, FleetView, GateDigest, GateOptions, InstanceMap,
-    MoveTracker, PeerTracker, PlacementDecision, PlacementQuery, QuotaTracker, RefusalReason,
-    RequestDetails, RetryBudget, RouteMatch, RouteTable, SuspectTracker, TargetKey, TargetRegistry,
-    TargetTracker, UnknownReason, WaitQueue, WaitTracker,
+    AttemptEvidence, AttemptPermit, FinalOutcome, GateDigest, GateOptions, InstanceMap,
+    MoveTracker, PeerTracker, QuotaTracker, RefusalReason, RequestDetails, RetryBudget, RouteTable,
+    SuspectTracker, TargetKey, TargetRegistry, TargetTracker, UnknownReason, WaitQueue,
+    WaitTracker,
 };
 
 /// Retry-after for a caller that was refused for lack of capacity. Bursts last 2.5 to 5 s in the
@@ -202,103 +204,6 @@
         }
     }
 
-    pub(crate) fn admit(
-        &mut self,
-        details: &RequestDetails,
-        draw: f64,
-        now: MonoTime,
-    ) -> Result<(RoutePlan, u8), FinalOutcome> {
-        let Some(table) = self.table.clone() else {
-            return Err(FinalOutcome::refused_until(RefusalReason::NoTable, TARGET_RETRY));
-        };
-        let (route, account) =
-            match table.find(&details.host, &details.path, details.key.as_deref()) {
-                RouteMatch::Served { route, account } => (route, account),
-                RouteMatch::NoRoute => return Err(FinalOutcome::refused(RefusalReason::NoRoute)),
-                RouteMatch::UnknownKey => {
-                    return Err(FinalOutcome::refused(RefusalReason::UnknownKey));
-                }
-            };
-        let Some(service) = route.service_for(draw) else {
-            return Err(FinalOutcome::refused(RefusalReason::NoRoute));
-        };
-        let trial_after = self.admit_suspect(details, now)?;
-        self.budget.record_request(service, now);
-        let quota = account.and_then(|account| account.quota);
-        let units = quota.map_or(0, |quota| quota.units(details.tokens));
-        if let (Some(account), Some(quota)) = (account, quota) {
-            let fleet = FleetView { size: self.fleet_size, reachable: self.peers.reachable() };
-            let taken = self.quotas.take(&account.label, &quota, units, fleet, now);
-            taken.map_err(|wait| FinalOutcome::refused_until(RefusalReason::OverQuota, wait))?;
-        }
-        let spent =
-            self.longest_waits.time_spent(&route.name, details.deadline.since(details.arrived));
-        let is_overdue = spent > route.target_latency;
-        let rank = route.wait_rank(account.and_then(|account| account.rank), is_overdue);
-        let plan = RoutePlan {
-            account: account.map(|account| account.label.clone()),
-            units,
-            rank,
-            trial_after,
-            ..RoutePlan::new(&table, route, service, details)
-        };
-        Ok((plan, route.max_attempts))
-    }
-
-    pub(crate) fn place(
-        &mut self,
-        details: &RequestDetails,
-        plan: &RoutePlan,
-        permit: &AttemptPermit,
-        draw: f64,
-        now: MonoTime,
-    ) -> PlacementStep {
-        let excluded = self.excluded(plan, None, permit.is_return());
-        let query = self.placement_query(details, plan, &excluded, now);
-        let is_open = now < plan.due && !self.has_ended(now);
-        if let Some(until) = self.joining_end(now).filter(|_| is_open) {
-            return PlacementStep::Wait(until.min(plan.due));
-        }
-        let decision = self.choose_target(plan, permit, &query, draw, now);
-        let outcome = match decision {
-            _ if now >= plan.due => FinalOutcome::refused(RefusalReason::TimedOut),
-            _ if self.refuses(details, plan, now) => FinalOutcome::refused(RefusalReason::Suspect),
-            _ if self.has_ended(now) => FinalOutcome::stopping(),
-            PlacementDecision::Send(placement)
-                if !permit.may_have_run() && self.would_be_cut(&query, &placement, now) =>
-            {
-                FinalOutcome::stopping()
-            }
-            PlacementDecision::Send(placement) => {
-                if self.renew_retry(plan, now) {
-                    return PlacementStep::Send(self.with_known_ends(placement));
-                }
-                FinalOutcome::refused_until(RefusalReason::BudgetSpent, CAPACITY_RETRY)
-            }
-            PlacementDecision::NoTarget => match self.next_look(plan, permit, now) {
-                Some(until) => return PlacementStep::Wait(until),
-                None => {
-                    let outcome =
-                        FinalOutcome::refused_until(RefusalReason::NoTarget, TARGET_RETRY);
-                    self.refused_in_pause(outcome, query.service, draw, now)
-                }
-            },
-            PlacementDecision::Full => {
-                let (until, outcome) = self.wait_limit(details, plan, permit, &query, now);
-                if now < until {
-                    return PlacementStep::Wait(until);
-                }
-                self.refused_in_pause(outcome, query.service, draw, now)
-            }
-        };
-        let outcome = match permit.may_have_run() {
-            true => FinalOutcome::Unknown(UnknownReason::Cut),
-            false => outcome,
-        };
-        self.refund_if_refused(plan, outcome);
-        PlacementStep::Refuse(outcome)
-    }
-
     /// Requests that wait for capacity.
     #[must_use]
     pub fn waiting(&self) -> &WaitQueue {
@@ -310,31 +215,6 @@
         &mut self.waiting
     }
 
-    fn placement_query<'a>(
-        &'a self,
-        details: &RequestDetails,
-        plan: &'a RoutePlan,
-        tried: &'a [TargetKey],
-        now: MonoTime,
-    ) -> PlacementQuery<'a> {
-        let service = plan.service.as_str();
-        // A version that is not proved gets first attempts only.
-        let version_draw = if tried.is_empty() { plan.version_draw } else { 1.0 };
-        PlacementQuery {
-            service,
-            prompt_tokens: details.tokens.map_or(0, |tokens| tokens.prompt),
-            output_tokens: details.tokens.map_or(0, |tokens| tokens.output),
-            tokens_per_event: plan.tokens_per_event,
-            left: plan.due.since(now),
-            on_engine: plan.on_engine,
-            target_latency: plan.target_latency,
-            gap_target: plan.gap_target,
-            is_contended: self.peers.waiting(service) > 0 || self.waiting.count(service) > 0,
-            tried,
-            version: self.moves.filter(service, &plan.route, version_draw, now),
-        }
-    }
-
     pub(crate) fn allow_retry(
         &mut self,
         details: &RequestDetails,
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use kwg_adapter::{ConfigDecoder, OrderCodec};
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    AppliedChanges, MoveDecision, MoveReport, PullReply, ReadPurpose, RowChanges, StoreRow,
-    StoreWitness, TableCopy, TableMirror, TableReading, TableReplica, TargetId, TargetRegistry,
+    AppliedChanges, PullReply, ReadPurpose, RowChanges, StoreRow, StoreWitness, TableCopy,
+    TableMirror, TableReading, TableReplica, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
@@ -34,7 +33,7 @@
     pub(crate) store_available: RefCell<HashMap<SharedTable, bool>>,
     /// What peers show of the store.
     pub(crate) witness: RefCell<StoreWitness>,
-    table_version: Cell<u64>,
+    pub(super) table_version: Cell<u64>,
     is_store_reader: Cell<bool>,
     is_relay: Cell<bool>,
     has_left: Cell<bool>,
@@ -313,64 +312,11 @@
         }
     }
 
-    /// Queues the end of a move that another instance has decided, if its order is known.
-    pub(crate) fn queue_end(&self, report: &MoveReport) {
-        let order = {
-            let (replicas, key) = (self.replicas.borrow(), OrderCodec::status_key(&report.service));
-            let replica = replicas.get(&SharedTable::Orders);
-            let value = replica.and_then(|replica| replica.mirror().row(&key, report.revision));
-            value.and_then(|value| OrderCodec::decode(value, report.revision).ok())
-        };
-        if let Some(order) = order {
-            let reason = "reported by a peer".to_owned();
-            self.queue_move(MoveTask::Decided(MoveDecision { order, phase: report.phase, reason }));
-        }
-    }
-
-    /// Passes an order of a version move to the traffic thread and the move handler.
-    fn apply_move_order(&self, value: &[u8], revision: u64) {
-        match OrderCodec::decode(value, revision) {
-            Ok(order) => {
-                self.send_to_traffic(TrafficInput::Order(order.clone(), None));
-                self.queue_move(MoveTask::Ordered(order));
-            }
-            Err(error) => {
-                log::error!("event=order-unreadable revision={revision} error=\"{error}\"")
-            }
-        }
-    }
-
     /// Sends a copy of the target registry to the traffic thread.
     fn publish_registry(&self) {
         let registry = Arc::new(self.registry.borrow().clone());
         self.send_to_traffic(TrafficInput::Registry(registry));
     }
-
-    /// Applies a row of the orders table: an order of a version move or the configuration. Logs and
-    /// skips a configuration that is unreadable or older than the one in force.
-    fn apply_order_row(&self, row: &StoreRow) {
-        let Some(value) = row.value.as_deref() else { return };
-        if OrderCodec::is_order(&row.key) {
-            return self.apply_move_order(value, row.revision);
-        }
-        if !ConfigDecoder::is_config(&row.key) {
-            return;
-        }
-        match ConfigDecoder::decode(value) {
-            Ok(table) if table.version() >= self.table_version.get() => {
-                self.table_version.set(table.version());
-                self.send_to_traffic(TrafficInput::Table(Arc::new(table), row.revision));
-            }
-            Ok(table) => {
-                let line = EventLine::new("table-outdated").field("version", table.version());
-                log::info!("{}", line.field("in_force", self.table_version.get()));
-            }
-            Err(error) => {
-                let line = EventLine::new("table-unreadable").field("revision", row.revision);
-                log::error!("{}", line.field("error", error));
-            }
-        }
-    }
 }
 
 /// The name of a table in log lines.
--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod metrics_server;
 mod move_handler;
 mod move_watch;
+mod order_rows;
 mod peer_handler;
 mod peer_outbox;
 mod pending_phases;
