gate, platform: requests stay in the home regions of their route and account

Ruled out: a filter in the relay only, since retries, hand-overs and predictions would still count targets that may not serve the request; a list per request in the digests, since nothing of a bound is shared between instances.

Change: RegionBound (routes and accounts), RoutePlan::regions, PlacementQuery::regions. Placement, second targets, fallbacks of versions, all predictions and the pause of all targets look at allowed targets only, and so does the last check before a request is sent. A waiting request obeys the lists of its arrival and of the table in force. The refusal 'no-region-target' (503 with Retry-After) is told apart from 'no-target'. Requests that wait for capacity do not contend in regions that have more free slots than there are waiting requests, where any bound is configured.

--- a/kwg-bench/src/overload/replay_fleet.rs
+++ b/kwg-bench/src/overload/replay_fleet.rs
@@ -5,8 +5,8 @@
 
 use kwg_gate::{
     Admitted, CallerLimits, DomainMap, EngineRule, GateCore, GateOptions, GateSession, InstanceMap,
-    QueuePosition, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule,
-    TargetEntry, TargetId, TargetRegistry,
+    QueuePosition, RegionBound, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName,
+    ServiceRule, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use rand::Rng;
@@ -107,6 +107,7 @@
         pools: vec![RoutePool { service: ServiceName::new(class.service()), weight: 1 }],
         max_attempts: 2,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let engine = EngineRule { slots, memory_tokens: 432_654, tokens_per_event: TOKENS_PER_EVENT };
     let rule = |name: &str, engine| ServiceRule {
--- a/kwg-gate/src/gate_core/admission.rs
+++ b/kwg-gate/src/gate_core/admission.rs
@@ -38,7 +38,9 @@
             self.longest_waits.time_spent(&route.name, details.deadline.since(details.arrived));
         let is_overdue = spent > route.target_latency;
         let rank = route.wait_rank(account.and_then(|account| account.rank), is_overdue);
+        let bound = account.map(|account| &account.regions);
         let plan = RoutePlan {
+            regions: bound.map_or_else(|| route.regions.clone(), |bound| route.regions.and(bound)),
             account: account.map(|account| account.label.clone()),
             units,
             rank,
--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -14,8 +14,10 @@
         now: MonoTime,
     ) {
         let (target, evidence) = (end.placement.target, end.evidence);
-        // The target was found to leave or pause while it was being connected, or the request is refused by now.
-        let is_withheld = !self.targets.is_open(target, now) || self.refuses(details, plan, now);
+        // The target was found to leave or pause while it was being connected, or the request is refused there by now.
+        let is_withheld = !self.targets.is_open(target, now)
+            || !self.is_in_regions(details, plan, target)
+            || self.refuses(details, plan, now);
         if evidence == AttemptEvidence::NotSent && is_withheld {
             return;
         }
--- /dev/null
+++ b/kwg-gate/src/gate_core/home_regions.rs
@@ -0,0 +1,57 @@
+use kwg_model::MonoTime;
+
+use super::GateCore;
+use crate::session::RoutePlan;
+use crate::{PlacementQuery, RefusalReason, RegionBound, RequestDetails, TargetKey};
+
+impl GateCore {
+    /// The regions in which a request may run now: those of the table that admitted it, and of the one in force if that
+    /// is another. A request that waits thus obeys both.
+    pub(super) fn regions(&self, details: &RequestDetails, plan: &RoutePlan) -> RegionBound {
+        match &self.table {
+            Some(table) if table.version() != plan.table_version => {
+                let newer = table.regions_of(details, plan.account.as_ref());
+                plan.regions.and(&newer)
+            }
+            _ => plan.regions.clone(),
+        }
+    }
+
+    /// Whether a target lies in a region where a request may run now.
+    pub(crate) fn is_in_regions(
+        &self,
+        details: &RequestDetails,
+        plan: &RoutePlan,
+        target: TargetKey,
+    ) -> bool {
+        self.targets.lies_within(target, self.regions(details, plan).names())
+    }
+
+    /// Whether requests for a service wait for capacity at targets in some regions, at this or another instance. Reports
+    /// do not say for which regions requests wait: where routes or accounts are bound to regions, more free slots in
+    /// these regions than there are waiting requests show that those wait for other ones.
+    pub(super) fn is_contended(
+        &self,
+        service: &str,
+        regions: Option<&[String]>,
+        now: MonoTime,
+    ) -> bool {
+        let waiting = self.peers.waiting(service).saturating_add(self.waiting.count(service));
+        let has_regions = self.table.as_ref().is_some_and(|table| table.has_regions());
+        let waits_elsewhere =
+            || has_regions && self.targets.idle_slots_within(service, regions, now) > waiting;
+        waiting > 0 && !waits_elsewhere()
+    }
+
+    /// Why no target may serve a request.
+    pub(super) fn no_target_reason(
+        &self,
+        query: &PlacementQuery<'_>,
+        now: MonoTime,
+    ) -> RefusalReason {
+        match self.targets.is_out_of_regions(query, now) {
+            true => RefusalReason::NoRegionTarget,
+            false => RefusalReason::NoTarget,
+        }
+    }
+}
--- a/kwg-gate/src/gate_core/next_run.rs
+++ b/kwg-gate/src/gate_core/next_run.rs
@@ -82,12 +82,12 @@
     pub(super) fn refused_in_pause(
         &self,
         outcome: FinalOutcome,
-        service: &str,
+        query: &PlacementQuery<'_>,
         draw: f64,
         now: MonoTime,
     ) -> FinalOutcome {
         let (FinalOutcome::Refused { reason, .. }, Some(left)) =
-            (outcome, self.targets.pause_left(service, now))
+            (outcome, self.targets.pause_left(query, now))
         else {
             return outcome;
         };
--- a/kwg-gate/src/gate_core/second_target.rs
+++ b/kwg-gate/src/gate_core/second_target.rs
@@ -40,7 +40,8 @@
         draw: f64,
         now: MonoTime,
     ) -> Option<Placement> {
-        let query = self.placement_query(details, plan, excluded, now);
+        let regions = self.regions(details, plan);
+        let query = self.placement_query(details, plan, &regions, excluded, now);
         let is_allowed = !self.refuses(details, plan, now)
             && self.budget.has_room(&plan.service, self.budget_instances(), now);
         match self.targets.place(&query, now, draw) {
--- a/kwg-gate/src/gate_core/target_selection.rs
+++ b/kwg-gate/src/gate_core/target_selection.rs
@@ -3,8 +3,8 @@
 use super::{CAPACITY_RETRY, GateCore, TARGET_RETRY};
 use crate::session::{PlacementStep, RoutePlan};
 use crate::{
-    AttemptPermit, FinalOutcome, PlacementDecision, PlacementQuery, RefusalReason, RequestDetails,
-    TargetKey, UnknownReason,
+    AttemptPermit, FinalOutcome, PlacementDecision, PlacementQuery, RefusalReason, RegionBound,
+    RequestDetails, TargetKey, UnknownReason,
 };
 
 impl GateCore {
@@ -17,7 +17,8 @@
         now: MonoTime,
     ) -> PlacementStep {
         let excluded = self.excluded(plan, None, permit.is_return());
-        let query = self.placement_query(details, plan, &excluded, now);
+        let regions = self.regions(details, plan);
+        let query = self.placement_query(details, plan, &regions, &excluded, now);
         let is_open = now < plan.due && !self.has_ended(now);
         if let Some(until) = self.joining_end(now).filter(|_| is_open) {
             return PlacementStep::Wait(until.min(plan.due));
@@ -41,9 +42,9 @@
             PlacementDecision::NoTarget => match self.next_look(plan, permit, now) {
                 Some(until) => return PlacementStep::Wait(until),
                 None => {
-                    let outcome =
-                        FinalOutcome::refused_until(RefusalReason::NoTarget, TARGET_RETRY);
-                    self.refused_in_pause(outcome, query.service, draw, now)
+                    let reason = self.no_target_reason(&query, now);
+                    let outcome = FinalOutcome::refused_until(reason, TARGET_RETRY);
+                    self.refused_in_pause(outcome, &query, draw, now)
                 }
             },
             PlacementDecision::Full => {
@@ -51,7 +52,7 @@
                 if now < until {
                     return PlacementStep::Wait(until);
                 }
-                self.refused_in_pause(outcome, query.service, draw, now)
+                self.refused_in_pause(outcome, &query, draw, now)
             }
         };
         let outcome = match permit.may_have_run() {
@@ -66,6 +67,7 @@
         &'a self,
         details: &RequestDetails,
         plan: &'a RoutePlan,
+        regions: &'a RegionBound,
         tried: &'a [TargetKey],
         now: MonoTime,
     ) -> PlacementQuery<'a> {
@@ -81,9 +83,10 @@
             on_engine: plan.on_engine,
             target_latency: plan.target_latency,
             gap_target: plan.gap_target,
-            is_contended: self.peers.waiting(service) > 0 || self.waiting.count(service) > 0,
+            is_contended: self.is_contended(service, regions.names(), now),
             tried,
             version: self.moves.filter(service, &plan.route, version_draw, now),
+            regions: regions.names(),
         }
     }
 }
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -53,8 +53,8 @@
     UnknownReason,
 };
 pub use table::{
-    AccountRule, CallerLimits, EngineRule, QuotaRule, RequestKind, RouteMatch, RoutePool,
-    RouteRule, RouteTable, ServiceRule,
+    AccountRule, CallerLimits, EngineRule, QuotaRule, RegionBound, RequestKind, RouteMatch,
+    RoutePool, RouteRule, RouteTable, ServiceRule,
 };
 pub use target::{
     AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
--- a/kwg-gate/src/registry/domain_map.rs
+++ b/kwg-gate/src/registry/domain_map.rs
@@ -34,6 +34,25 @@
 }
 
 impl DomainMap {
+    /// Whether a failure domain lies in one of some regions, or there is no bound. A domain of unknown region lies in
+    /// none.
+    ///
+    /// ```
+    /// use kwg_gate::DomainMap;
+    ///
+    /// let regions = [("ibk".to_owned(), "west".to_owned())].into();
+    /// let domains = DomainMap { own: "ibk".to_owned(), regions };
+    /// assert!(domains.is_within("ibk", Some(&["west".to_owned()])));
+    /// assert!(!domains.is_within("isle", Some(&["west".to_owned()])));
+    /// assert!(domains.is_within("isle", None));
+    /// ```
+    #[must_use]
+    pub fn is_within(&self, domain: &str, regions: Option<&[String]>) -> bool {
+        regions.is_none_or(|allowed| {
+            self.regions.get(domain).is_some_and(|region| allowed.contains(region))
+        })
+    }
+
     /// Whether two failure domains are known to be in the same region.
     #[must_use]
     pub fn share_region(&self, one: &str, other: &str) -> bool {
--- a/kwg-gate/src/session/final_outcome.rs
+++ b/kwg-gate/src/session/final_outcome.rs
@@ -27,6 +27,8 @@
     OverQuota,
     /// Its service has no usable target.
     NoTarget,
+    /// Its service has targets, but none in a region where it may run.
+    NoRegionTarget,
     /// No target is expected to answer it in time.
     Overloaded,
     /// Targets declined it and the retry budget is used up.
@@ -107,6 +109,7 @@
             Self::UnknownKey => "unknown-key",
             Self::OverQuota => "over-quota",
             Self::NoTarget => "no-target",
+            Self::NoRegionTarget => "no-region-target",
             Self::Overloaded => "overloaded",
             Self::BudgetSpent => "budget-spent",
             Self::Declined => "declined",
--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -162,11 +162,14 @@
     }
 
     /// Whether the request may still be sent to a target, asked last before its first byte is written: while the
-    /// connection was opened, the target may have been found to leave or pause, and other targets may have ended under
-    /// the request.
+    /// connection was opened, the target may have been found to leave or pause, other targets may have ended under the
+    /// request, or its regions may have changed.
     #[must_use]
     pub fn may_reach(&self, core: &GateCore, target: TargetKey, now: MonoTime) -> bool {
-        core.targets().is_open(target, now) && !core.refuses(&self.details, &self.state.plan, now)
+        let plan = &self.state.plan;
+        core.targets().is_open(target, now)
+            && core.is_in_regions(&self.details, plan, target)
+            && !core.refuses(&self.details, plan, now)
     }
 
     /// Reserves another target with a free slot, if the request may be sent there although this one
--- a/kwg-gate/src/session/route_plan.rs
+++ b/kwg-gate/src/session/route_plan.rs
@@ -3,8 +3,8 @@
 use kwg_model::MonoTime;
 
 use crate::{
-    AccountLabel, AttemptEvidence, RequestDetails, RequestKind, RouteRule, RouteTable, ServiceName,
-    TargetKey,
+    AccountLabel, AttemptEvidence, RegionBound, RequestDetails, RequestKind, RouteRule, RouteTable,
+    ServiceName, TargetKey,
 };
 
 /// Time after arrival for which every request may wait for capacity, even if its answer will then
@@ -67,6 +67,8 @@
     /// Number of ends that spoke against the request when it was admitted to find out whether they are its doing; none if
     /// nothing did.
     pub(crate) trial_after: Option<usize>,
+    /// The regions in which it may run, by the table that was applied.
+    pub(crate) regions: RegionBound,
 }
 
 impl RoutePlan {
@@ -101,6 +103,7 @@
             cut_at: None,
             attempt_ended: details.arrived,
             trial_after: None,
+            regions: route.regions.clone(),
         }
     }
 
--- a/kwg-gate/src/table/account_rule.rs
+++ b/kwg-gate/src/table/account_rule.rs
@@ -1,4 +1,4 @@
-use crate::{AccountLabel, TokenCount};
+use crate::{AccountLabel, RegionBound, TokenCount};
 
 /// A client account with its rank and quota.
 #[derive(Debug, Clone, PartialEq)]
@@ -9,6 +9,8 @@
     pub rank: Option<u32>,
     /// Quota over all instances.
     pub quota: Option<QuotaRule>,
+    /// Regions in which its requests may run.
+    pub regions: RegionBound,
 }
 
 /// A quota as a token bucket.
--- a/kwg-gate/src/table/mod.rs
+++ b/kwg-gate/src/table/mod.rs
@@ -2,6 +2,7 @@
 
 mod account_rule;
 mod caller_limits;
+mod region_bound;
 mod request_kind;
 mod route_rule;
 mod route_table;
@@ -9,6 +10,7 @@
 
 pub use account_rule::{AccountRule, QuotaRule};
 pub use caller_limits::CallerLimits;
+pub use region_bound::RegionBound;
 pub use request_kind::RequestKind;
 pub use route_rule::{RoutePool, RouteRule};
 pub use route_table::{RouteMatch, RouteTable};
--- a/kwg-gate/src/table/route_rule.rs
+++ b/kwg-gate/src/table/route_rule.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::{RequestKind, ServiceName};
+use crate::{RegionBound, RequestKind, ServiceName};
 
 /// A route: which requests it matches and how they are served.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +28,8 @@
     pub max_attempts: u8,
     /// Whether it accepts requests without a key.
     pub allows_anonymous: bool,
+    /// Regions in which its requests may run.
+    pub regions: RegionBound,
 }
 
 /// A service's share of a route.
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -1,6 +1,9 @@
 use std::collections::HashMap;
 
-use crate::{AccountRule, CallerLimits, RouteRule, ServiceName, ServiceRule};
+use crate::{
+    AccountLabel, AccountRule, CallerLimits, RegionBound, RequestDetails, RouteRule, ServiceName,
+    ServiceRule,
+};
 
 /// One version of the configuration, indexed for lookups.
 #[derive(Debug, Clone, Default)]
@@ -13,6 +16,8 @@
     /// Index into `accounts` by key.
     keys: HashMap<String, usize>,
     limits: CallerLimits,
+    /// Whether a route or an account is bound to regions.
+    has_regions: bool,
 }
 
 /// Result of looking up a request's host, path and key.
@@ -59,6 +64,9 @@
             table.accounts.push(account);
             table.keys.extend(keys.into_iter().map(|key| (key, index)));
         }
+        let routes = table.hosts.values().flatten().map(|route| &route.regions);
+        let mut bounds = routes.chain(table.accounts.iter().map(|account| &account.regions));
+        table.has_regions = bounds.any(|bound| bound.names().is_some());
         table
     }
 
@@ -96,15 +104,37 @@
     /// table has no accounts.
     #[must_use]
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
-        let Some(route) = routes.iter().find(|route| path.starts_with(&route.prefix)) else {
-            return RouteMatch::NoRoute;
-        };
+        let Some(route) = self.route_of(host, path) else { return RouteMatch::NoRoute };
         let account = key.and_then(|key| self.account_of(key));
         if account.is_none() && !route.allows_anonymous && !self.accounts.is_empty() {
             return RouteMatch::UnknownKey;
         }
         RouteMatch::Served { route, account }
     }
+
+    /// Whether a route or an account is bound to regions.
+    #[must_use]
+    pub(crate) fn has_regions(&self) -> bool {
+        self.has_regions
+    }
+
+    /// The regions that this table allows a request which an earlier one has admitted, for an account. A route or an
+    /// account that is gone sets no bound.
+    pub(crate) fn regions_of(
+        &self,
+        details: &RequestDetails,
+        account: Option<&AccountLabel>,
+    ) -> RegionBound {
+        let route = self.route_of(&details.host, &details.path);
+        let held = details.key.as_deref().and_then(|key| self.account_of(key));
+        let labelled = || self.accounts.iter().find(|known| Some(&known.label) == account);
+        let of_account = held.or_else(labelled).map(|account| &account.regions);
+        let none = RegionBound::default();
+        route.map_or(&none, |route| &route.regions).and(of_account.unwrap_or(&none))
+    }
+
+    fn route_of(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        self.hosts.get(&name)?.iter().find(|route| path.starts_with(&route.prefix))
+    }
 }
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -56,6 +56,8 @@
     pub tried: &'a [TargetKey],
     /// Which versions may serve the request.
     pub version: VersionFilter<'a>,
+    /// Regions in which the request may run; none without a bound.
+    pub regions: Option<&'a [String]>,
 }
 
 /// Which versions may serve a request.
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod home_regions;
 mod slot_allocation;
 mod target_choice;
 mod target_words;
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -28,6 +28,7 @@
         let last = self.last_of_part(query.version, fits, now);
         let untried = |(key, state): &(TargetKey, &TargetState)| {
             fits(state)
+                && self.is_allowed(state, query)
                 && !query.tried.contains(key)
                 && last.is_none_or(|last| part_place(state, now) <= last)
         };
@@ -60,7 +61,7 @@
     }
 
     /// Shortest expected time until the first event, or until the answer, if a slot were free, over
-    /// all targets of the service that are not draining. Their version, health and earlier attempts
+    /// all targets of the service in the allowed regions that are not draining. Their version, health and earlier attempts
     /// are ignored. 1000 s if there is no such target.
     #[must_use]
     pub fn best_expected(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Duration {
@@ -79,7 +80,9 @@
     ) -> Duration {
         let is_measured = |state: &TargetState| state.is_measured(query.on_engine);
         let fits = |state: &&TargetState| {
-            state.entry.service.as_str() == query.service && !state.standing.is_leaving(now)
+            state.entry.service.as_str() == query.service
+                && !state.standing.is_leaving(now)
+                && self.is_allowed(state, query)
         };
         let has_measured = self.targets.values().filter(fits).any(is_measured);
         if !has_measured || self.targets.get(placement.target).is_none_or(is_measured) {
@@ -117,7 +120,9 @@
         time_ms: impl Fn(&TargetState) -> f64,
     ) -> Duration {
         let states = self.targets.values().filter(|state| {
-            state.entry.service.as_str() == query.service && !state.standing.is_leaving(now)
+            state.entry.service.as_str() == query.service
+                && !state.standing.is_leaving(now)
+                && self.is_allowed(state, query)
         });
         let shortest = states.map(time_ms).fold(f64::INFINITY, f64::min);
         Duration::from_secs_f64(shortest.min(1e6) / 1e3)
@@ -155,8 +160,6 @@
     /// Number of free slots of a service that this instance may take.
     #[must_use]
     pub fn free_slots(&self, service: &str, now: MonoTime) -> u32 {
-        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
-        let targets = self.targets.values().filter(of_service);
-        targets.filter(|state| state.takes_requests(now)).map(TargetState::usable_slots).sum()
+        self.free_slots_within(service, None, now)
     }
 }
--- a/kwg-gate/src/target/target_tracker/target_words.rs
+++ b/kwg-gate/src/target/target_tracker/target_words.rs
@@ -3,16 +3,14 @@
 use kwg_model::MonoTime;
 
 use super::TargetTracker;
-use crate::target::target_state::TargetState;
-use crate::{StandingState, TargetId, TargetKey, TargetWord};
+use crate::{PlacementQuery, StandingState, TargetId, TargetKey, TargetWord};
 
 impl TargetTracker {
-    /// Time until the first pause of the targets of a service ends, if all that do not leave are paused.
+    /// Time until the first pause of the targets that may serve a request ends, if all that do not leave are paused.
     #[must_use]
-    pub fn pause_left(&self, service: &str, now: MonoTime) -> Option<Duration> {
-        let of_service = |state: &&TargetState| state.entry.service.as_str() == service;
-        let targets = self.targets.values().filter(of_service);
-        let staying = targets.filter(|state| !state.standing.is_leaving(now));
+    pub fn pause_left(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<Duration> {
+        let staying = self.staying(query.service, now);
+        let staying = staying.filter(|state| self.is_allowed(state, query));
         let ends = staying.map(|state| match state.standing.state(now) {
             StandingState::Paused { until } => until,
             _ => now,
--- a/kwg-gate/tests/configuration.rs
+++ b/kwg-gate/tests/configuration.rs
@@ -7,7 +7,8 @@
 
 use kwg_gate::{
     CallerLimits, FinalOutcome, GateCore, GateSession, PlacementOutcome, Received, RefusalReason,
-    RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule,
+    RegionBound, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName,
+    ServiceRule,
 };
 use kwg_model::MonoTime;
 use support::{STREAM, TARGET_LATENCY, core, place, send, start};
@@ -27,6 +28,7 @@
         pools: vec![RoutePool { service: service.clone(), weight: 1 }],
         max_attempts: 2,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let rule = ServiceRule { name: service, max_connections: 100, engine: None };
     Arc::new(RouteTable::new(version, [route], [rule], [], CallerLimits::default()))
--- a/kwg-gate/tests/support/mod.rs
+++ b/kwg-gate/tests/support/mod.rs
@@ -7,9 +7,9 @@
 
 use kwg_gate::{
     CallerLimits, Dispatched, DomainMap, EngineRule, GateCore, GateOptions, GateSession,
-    InstanceMap, PlacementOutcome, Received, RequestDetails, RequestKind, RetryBudgetOptions,
-    RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, TargetEntry, TargetId,
-    TargetRegistry,
+    InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind,
+    RetryBudgetOptions, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, TargetEntry,
+    TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -55,6 +55,7 @@
         pools: vec![RoutePool { service: service.clone(), weight: 1 }],
         max_attempts,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: SLOTS, memory_tokens: 100_000, tokens_per_event: 1.0 };
     let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
--- a/kwg-gate/tests/support/move_fixture.rs
+++ b/kwg-gate/tests/support/move_fixture.rs
@@ -8,8 +8,8 @@
 use kwg_gate::{
     AnswerOutcome, AttemptSample, CallerLimits, Dispatched, DomainMap, EngineRule, GateCore,
     GateDigest, GateOptions, GateSession, InstanceMap, MovePhase, MoveTracker, PlacementOutcome,
-    Received, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName,
-    ServiceRule, TargetEntry, TargetId, TargetRegistry, VersionOrder,
+    Received, RegionBound, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
+    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry, VersionOrder,
 };
 use kwg_model::MonoTime;
 
@@ -88,6 +88,7 @@
         pools: vec![RoutePool { service: service.clone(), weight: 1 }],
         max_attempts: 2,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: 100, memory_tokens: 100_000, tokens_per_event: 1.0 };
     let rule = ServiceRule { name: service, max_connections: 100, engine: Some(engine) };
--- a/kwg-gate/tests/support/poison_site.rs
+++ b/kwg-gate/tests/support/poison_site.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallerLimits, EngineRule, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName,
-    ServiceRule, TargetEntry, TargetId, TargetRegistry,
+    CallerLimits, EngineRule, RegionBound, RequestKind, RoutePool, RouteRule, RouteTable,
+    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -49,6 +49,7 @@
         pools: vec![RoutePool { service: ServiceName::new(service), weight: 1 }],
         max_attempts: runs,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: SLOTS, memory_tokens: 100_000, tokens_per_event: 1.0 };
     let service = |name: &str, engine| ServiceRule {
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -10,8 +10,8 @@
 use kwg_clock::ClockHandle;
 use kwg_gate::{
     Admitted, AttemptEvidence, CallerLimits, DomainMap, EngineRule, GateCore, GateOptions,
-    GateSession, InstanceMap, PlacementOutcome, Received, RequestDetails, RequestKind, RoutePool,
-    RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep, TargetEntry, TargetId,
+    GateSession, InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind,
+    RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep, TargetEntry, TargetId,
     TargetRegistry,
 };
 use kwg_model::MonoTime;
@@ -39,6 +39,7 @@
         pools: vec![RoutePool { service: service.clone(), weight: 1 }],
         max_attempts: 2,
         allows_anonymous: true,
+        regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: 1, memory_tokens: 100_000, tokens_per_event: 1.0 };
     let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
