gateway: free slots go past waiting requests that are bound to other regions; note on home regions

Cause: the first request in the queue was woken for each free slot. One that is bound to a region without a free slot finds none and keeps its place, so those behind it wait although they could run.

Ruled out: not counting such a request as woken, since each wake-up would then place all of them again.

Change: WaitQueue::next_where passes over requests whose regions have no free slot. A configuration with lists wakes the waiting requests, since other regions are allowed to them. 'region-unknown' is logged for a region that the settings do not have.

--- a/kwg-gate/src/limit/wait_queue.rs
+++ b/kwg-gate/src/limit/wait_queue.rs
@@ -75,10 +75,21 @@
     /// one in the queue.
     #[must_use]
     pub fn next(&self, service: &ServiceName, draw: f64) -> Option<QueuePosition> {
-        let waiting = self.services.get(service)?;
+        self.next_where(service, draw, |_| true)
+    }
+
+    /// As [`Self::next`], of the requests for which `may_use` returns true.
+    #[must_use]
+    pub fn next_where(
+        &self,
+        service: &ServiceName,
+        draw: f64,
+        may_use: impl Fn(&QueuePosition) -> bool,
+    ) -> Option<QueuePosition> {
+        let mut waiting = self.services.get(service)?.iter().filter(|position| may_use(position));
         match draw < OLDEST_FIRST_SHARE {
-            true => waiting.iter().min_by_key(|position| position.since).copied(),
-            false => waiting.first().copied(),
+            true => waiting.min_by_key(|position| position.since).copied(),
+            false => waiting.next().copied(),
         }
     }
 
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::{
     AccountLabel, AccountRule, CallerLimits, RegionBound, RequestDetails, RouteRule, ServiceName,
@@ -112,9 +112,18 @@
         RouteMatch::Served { route, account }
     }
 
+    /// Regions of the lists that are not among some known ones, each once.
+    #[must_use]
+    pub fn unknown_regions(&self, is_known: impl Fn(&str) -> bool) -> BTreeSet<&str> {
+        let routes = self.hosts.values().flatten().map(|route| &route.regions);
+        let bounds = routes.chain(self.accounts.iter().map(|account| &account.regions));
+        let names = bounds.flat_map(|bound| bound.names().unwrap_or_default());
+        names.map(String::as_str).filter(|name| !is_known(name)).collect()
+    }
+
     /// Whether a route or an account is bound to regions.
     #[must_use]
-    pub(crate) fn has_regions(&self) -> bool {
+    pub fn has_regions(&self) -> bool {
         self.has_regions
     }
 
--- a/kwg-gate/src/target/target_tracker/home_regions.rs
+++ b/kwg-gate/src/target/target_tracker/home_regions.rs
@@ -10,6 +10,12 @@
         self.domains.is_within(&state.entry.domain, query.regions)
     }
 
+    /// Whether a failure domain of the settings lies in a region.
+    #[must_use]
+    pub fn has_region(&self, name: &str) -> bool {
+        self.domains.regions.values().any(|region| region == name)
+    }
+
     /// Whether a target lies in one of some regions; false if it is not known.
     pub(crate) fn lies_within(&self, key: TargetKey, regions: Option<&[String]>) -> bool {
         let is_within = |state: &TargetState| self.domains.is_within(&state.entry.domain, regions);
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
 use kwg_clock::ClockHandle;
-use kwg_gate::{GateCore, MoveDecision, MovePhase, ServiceName, StandingSource};
+use kwg_gate::{GateCore, MoveDecision, MovePhase, RouteTable, ServiceName, StandingSource};
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use rand::random;
@@ -28,6 +28,9 @@
 /// How often a draining instance checks whether the last connection has closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Log lines on unknown regions for each table: enough to find the mistake.
+const MAX_REGION_LINES: usize = 8;
+
 /// The thread that serves callers' requests.
 #[derive(Debug)]
 pub(crate) struct TrafficThread {
@@ -102,9 +105,16 @@
     let mut core = state.core.borrow_mut();
     match input {
         TrafficInput::Table(table, revision) => {
+            let had_regions = core.table().is_some_and(|before| before.has_regions());
             if core.set_table(&table) {
                 let version = table.version();
                 log::info!("event=table-in-force version={version} revision={revision}");
+                warn_of_regions(&core, &table);
+                if had_regions || table.has_regions() {
+                    drop(core);
+                    // Other regions are allowed to those that wait, or none.
+                    WaitNotifier::wake_all(state);
+                }
             }
         }
         TrafficInput::Registry(registry) => {
@@ -145,6 +155,16 @@
     }
 }
 
+/// Logs the regions of a table's lists in which no failure domain lies: no request is served there.
+fn warn_of_regions(core: &GateCore, table: &RouteTable) {
+    for region in
+        table.unknown_regions(|name| core.targets().has_region(name)).iter().take(MAX_REGION_LINES)
+    {
+        let line = EventLine::new("region-unknown").field("region", region);
+        log::warn!("{}", line.field("version", table.version()));
+    }
+}
+
 /// Wakes as many waiting requests of each service as there may be free slots.
 fn wake_waiting(state: &TrafficState) {
     let free: Vec<(ServiceName, u32)> = {
--- a/kwg-gateway/src/traffic/wait_notifier.rs
+++ b/kwg-gateway/src/traffic/wait_notifier.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Receiver, Sender, bounded};
 use futures_lite::FutureExt;
-use kwg_gate::{Admitted, GateSession, QueuePosition, ServiceName};
+use kwg_gate::{Admitted, GateCore, GateSession, QueuePosition, RegionBound, ServiceName};
 use kwg_model::MonoTime;
 use rand::random;
 
@@ -14,7 +14,15 @@
 /// the core's waiting list.
 #[derive(Debug, Default)]
 pub(crate) struct WaitNotifier {
-    wakers: RefCell<HashMap<QueuePosition, Sender<()>>>,
+    wakers: RefCell<HashMap<QueuePosition, WaitWaker>>,
+}
+
+/// Wakes a waiting request.
+#[derive(Debug)]
+struct WaitWaker {
+    sender: Sender<()>,
+    /// Where the request may run.
+    regions: RegionBound,
 }
 
 /// A request's entry in the waiting list; dropping the guard removes it.
@@ -47,17 +55,50 @@
 
     /// Wakes up to `count` waiting requests of a service that have not run yet, and those that have
     /// and come before them. The latter may not use a slot at a target that they have tried, and one
-    /// that finds no capacity must not keep the slot from the next request.
+    /// that finds no capacity must not keep the slot from the next request. Those that are bound to regions without a
+    /// free slot are passed over.
     pub(crate) fn wake(state: &TrafficState, service: &ServiceName, count: u32) {
+        let now = state.clock.now();
+        let may_use = |core: &GateCore, waker: &WaitWaker| match waker.regions.names() {
+            None => true,
+            names => core.targets().free_slots_within(service.as_str(), names, now) > 0,
+        };
+        Self::wake_where(state, service, count, may_use);
+    }
+
+    fn wake_where(
+        state: &TrafficState,
+        service: &ServiceName,
+        count: u32,
+        may_use: impl Fn(&GateCore, &WaitWaker) -> bool,
+    ) {
+        // Few bounds differ, and there may be many requests with the same one.
+        let mut known: Vec<(RegionBound, bool)> = Vec::new();
+        {
+            let core = state.core.borrow();
+            for waker in state.wait_notifier.wakers.borrow().values() {
+                if !known.iter().any(|(regions, _)| *regions == waker.regions) {
+                    known.push((waker.regions.clone(), may_use(&core, waker)));
+                }
+            }
+        }
+        let can_use = |position: &QueuePosition| {
+            let wakers = state.wait_notifier.wakers.borrow();
+            wakers.get(position).is_none_or(|waker| {
+                let of_bound = known.iter().find(|(regions, _)| *regions == waker.regions);
+                of_bound.is_none_or(|(_, can_use)| *can_use)
+            })
+        };
         let mut woken = 0;
         while woken < count {
             let mut core = state.core.borrow_mut();
-            let Some(position) = core.waiting().next(service, random()) else { return };
+            let next = core.waiting().next_where(service, random(), can_use);
+            let Some(position) = next else { return };
             // The request enters again if it finds no capacity.
             core.waiting_mut().leave(service, &position);
             woken += u32::from(position.is_first_run());
             if let Some(waker) = state.wait_notifier.wakers.borrow_mut().remove(&position)
-                && waker.try_send(()).is_err()
+                && waker.sender.try_send(()).is_err()
             {
                 log::debug!("event=wait-already-called");
             }
@@ -70,13 +111,14 @@
             let core = state.core.borrow();
             core.waiting().counts().map(|(service, _)| service.clone()).collect()
         };
-        services.iter().for_each(|service| Self::wake(state, service, u32::MAX));
+        services.iter().for_each(|service| Self::wake_where(state, service, u32::MAX, |_, _| true));
     }
 }
 
 impl<'a> WaitGuard<'a> {
     fn new(state: &'a Rc<TrafficState>, session: &GateSession<Admitted>) -> Self {
-        let (waker, woken) = bounded(1);
+        let (sender, woken) = bounded(1);
+        let waker = WaitWaker { sender, regions: session.regions().clone() };
         let service = session.service().clone();
         let position = session.enter_queue(state.core.borrow_mut().waiting_mut());
         state.wait_notifier.wakers.borrow_mut().insert(position, waker);
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -23,7 +23,10 @@
 /// A core with one slot at one target.
 fn core(now: MonoTime) -> GateCore {
     let mut core = GateCore::new(GateOptions {
-        domains: DomainMap { own: "a".to_owned(), ..DomainMap::default() },
+        domains: DomainMap {
+            own: "a".to_owned(),
+            regions: [("a".to_owned(), "ost".to_owned())].into(),
+        },
         ..GateOptions::default()
     });
     let service = ServiceName::new("llm");
@@ -43,7 +46,13 @@
     };
     let engine = EngineRule { slots: 1, memory_tokens: 100_000, tokens_per_event: 1.0 };
     let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
-    let table = RouteTable::new(1, [route], [rule], [], CallerLimits::default());
+    let bound = RouteRule {
+        name: "bound".to_owned(),
+        prefix: "/bound/".to_owned(),
+        regions: RegionBound::of(["west".to_owned()]),
+        ..route.clone()
+    };
+    let table = RouteTable::new(1, [route, bound], [rule], [], CallerLimits::default());
     core.set_table(&Arc::new(table));
     let mut registry = TargetRegistry::default();
     let entry = TargetEntry {
@@ -64,10 +73,14 @@
 }
 
 fn admit(core: &mut GateCore, id: &str, now: MonoTime) -> GateSession<Admitted> {
+    admit_at(core, id, "/a", now)
+}
+
+fn admit_at(core: &mut GateCore, id: &str, path: &str, now: MonoTime) -> GateSession<Admitted> {
     let details = RequestDetails {
         id: id.to_owned(),
         host: "h".to_owned(),
-        path: "/a".to_owned(),
+        path: path.to_owned(),
         key: None,
         parts: Vec::new(),
         tokens: None,
@@ -113,3 +126,27 @@
         assert_eq!(woken[1..], [Some(()), None]);
     });
 }
+
+/// A request that waits for another region would be woken for every free slot, find none, and keep its place before
+/// those that can use it.
+#[test]
+fn a_request_gets_a_free_slot_although_one_for_another_region_comes_first() {
+    let clock = ClockHandle::system();
+    let now = clock.now();
+    let mut core = core(now);
+    let bound = admit_at(&mut core, "bound", "/bound/", now);
+    let first = admit(&mut core, "first", now);
+    let service = first.service().clone();
+    let state = TrafficState::new(core, clock, GatewayMetrics::new(), 10, 1 << 20);
+    let limit = now + Duration::from_secs(50);
+    let mut bound = pin!(WaitNotifier::wait(&state, &bound, limit));
+    let mut first = pin!(WaitNotifier::wait(&state, &first, limit));
+    block_on(async {
+        assert_eq!(poll_once(bound.as_mut()).await, None);
+        assert_eq!(poll_once(first.as_mut()).await, None);
+        WaitNotifier::wake(&state, &service, 1);
+        assert_eq!([poll_once(bound.as_mut()).await, poll_once(first).await], [None, Some(())]);
+        WaitNotifier::wake_all(&state);
+        assert_eq!(poll_once(bound).await, Some(()), "other limits apply to it as well");
+    });
+}
