feat(gate): placement counts the pauses that a request causes at a target

Cause: an engine reads prompts between the steps of its running streams, so a long prompt at a slow engine makes the events of all streams there late. Placement looked at the first event, the end and the share of used slots only, and at the longest pauses of this instance's own streams.

Change: PauseRisk predicts the pause at a target (tokens of an event x time of a token, and reading of all unread prompts and this one) against the promised pause; the streams that become late count in the cost. A request waits rather than make more streams late than at better targets that hold a quarter of the slots, and goes to any target before it is refused. The time to read a prompt token and the longest pauses are learned, and pooled through TargetReport (four new fields at its end).

Ruled out: a fixed number of slots for slow engines (which of them are slow is not configured); an absolute bound of the harm (it refuses where all targets are slow).

The queries in tests/slots.rs and tests/targets.rs name the new field is_last_resort (false).

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -2,6 +2,7 @@
 mod attempt_ends;
 mod decision_clock;
 mod joining;
+mod last_resort;
 mod next_run;
 mod planned_stop;
 mod second_target;
--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -42,6 +42,9 @@
         let pace_ms = sample.pace_ms(prompt_tokens, plan.on_engine);
         self.record_no_end(details, target, sample, now);
         self.targets.record_success(target, sample, now);
+        if plan.on_engine {
+            self.targets.record_reading(target, prompt_tokens, plan.tokens_per_event, sample);
+        }
         let outcome = AnswerOutcome::Delivered { pace_ms };
         self.count_for_move(target, &plan.route, details.arrived, outcome);
     }
--- a/kwg-gate/src/gate_core/target_selection.rs
+++ b/kwg-gate/src/gate_core/target_selection.rs
@@ -22,7 +22,12 @@
         if let Some(until) = self.joining_end(now).filter(|_| is_open) {
             return PlacementStep::Wait(until.min(plan.due));
         }
-        let decision = self.choose_target(plan, permit, &query, draw, now);
+        let decision = match self.choose_target(plan, permit, &query, draw, now) {
+            PlacementDecision::Full if self.is_last_resort(details, plan, permit, &query, now) => {
+                self.choose_target(plan, permit, &query.at_last(), draw, now)
+            }
+            decision => decision,
+        };
         let outcome = match decision {
             _ if now >= plan.due => FinalOutcome::refused(RefusalReason::TimedOut),
             _ if self.refuses(details, plan, now) => FinalOutcome::refused(RefusalReason::Suspect),
@@ -84,6 +89,7 @@
             is_contended: self.peers.waiting(service) > 0 || self.waiting.count(service) > 0,
             tried,
             version: self.moves.filter(service, &plan.route, version_draw, now),
+            is_last_resort: false,
         }
     }
 }
--- a/kwg-gate/src/peer/gate_digest.rs
+++ b/kwg-gate/src/peer/gate_digest.rs
@@ -138,6 +138,14 @@
     pub hold_weight: u8,
     /// Mark of the run of the target that has told the instance that it leaves; 0 if none has.
     pub leaving_run: u16,
+    /// Mean time in which one prompt token was read, in nanoseconds.
+    pub read_ns: u32,
+    /// Number of samples in `read_ns`.
+    pub read_weight: u8,
+    /// Mean of the longest pause of each stream, in milliseconds.
+    pub gap_ms: u32,
+    /// Number of samples in `gap_ms`.
+    pub gap_weight: u8,
 }
 
 impl TargetReport {
@@ -147,15 +155,10 @@
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
         self.good = self.good.wrapping_add(other.good);
         self.bad = self.bad.wrapping_add(other.bad);
-        let mean = |own: u32, own_weight: u8, other: u32, weight: u8| {
-            let total = u32::from(own_weight) + u32::from(weight);
-            let sum = own * u32::from(own_weight) + other * u32::from(weight);
-            sum.checked_div(total).unwrap_or(0)
-        };
-        self.step_us = mean(self.step_us, self.step_weight, other.step_us, other.step_weight);
-        self.step_weight = self.step_weight.saturating_add(other.step_weight);
-        self.hold_ms = mean(self.hold_ms, self.hold_weight, other.hold_ms, other.hold_weight);
-        self.hold_weight = self.hold_weight.saturating_add(other.hold_weight);
+        add_mean((&mut self.step_us, &mut self.step_weight), (other.step_us, other.step_weight));
+        add_mean((&mut self.hold_ms, &mut self.hold_weight), (other.hold_ms, other.hold_weight));
+        add_mean((&mut self.read_ns, &mut self.read_weight), (other.read_ns, other.read_weight));
+        add_mean((&mut self.gap_ms, &mut self.gap_weight), (other.gap_ms, other.gap_weight));
         self.leaving_run = self.leaving_run.max(other.leaving_run);
     }
 
@@ -167,3 +170,11 @@
         self.bad = self.bad.saturating_sub(part.bad);
     }
 }
+
+/// Adds a mean and its number of samples to another one.
+fn add_mean((mean, samples): (&mut u32, &mut u8), (other, weight): (u32, u8)) {
+    let total = u64::from(*samples) + u64::from(weight);
+    let sum = u64::from(*mean) * u64::from(*samples) + u64::from(other) * u64::from(weight);
+    *mean = sum.checked_div(total).and_then(|mean| u32::try_from(mean).ok()).unwrap_or(0);
+    *samples = samples.saturating_add(weight);
+}
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -2,7 +2,9 @@
 
 mod departed_targets;
 mod draw_sequence;
+mod harm_limit;
 mod learned_mean;
+mod pause_risk;
 mod placement;
 mod slot_share;
 mod target_health;
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -2,11 +2,12 @@
 
 use kwg_model::MonoTime;
 
+use super::pause_risk::PauseRisk;
 use super::target_state::TargetState;
 use crate::{DomainDistance, DomainMap, TargetKey};
 
 /// Time to the first token besides reading the prompt, in milliseconds.
-const FIRST_TOKEN_MS: f64 = 8.0;
+pub(crate) const FIRST_TOKEN_MS: f64 = 8.0;
 /// Cost of crossing into another failure domain of the region, in units of the value of one answer:
 /// about the traffic price of a medium request.
 const CROSS_DOMAIN_COST: f64 = 0.01;
@@ -28,6 +29,8 @@
 /// Cost of a certain failure: the answer, and a part of the capacity that its retry takes from
 /// other requests.
 const FAILURE_COST: f64 = 2.0;
+/// Cost of a stream that is late by a pause: the part of an answer's value that is lost if it is late.
+const LATE_COST: f64 = 0.7;
 /// Upper bound of the ratio of the expected time to the target latency in the cost.
 const MAX_LATENCY_RATIO: f64 = 8.0;
 
@@ -56,6 +59,8 @@
     pub tried: &'a [TargetKey],
     /// Which versions may serve the request.
     pub version: VersionFilter<'a>,
+    /// Whether the request is refused if no target takes it now, so that it goes to any target with a slot.
+    pub is_last_resort: bool,
 }
 
 /// Which versions may serve a request.
@@ -112,6 +117,13 @@
     NoTarget,
 }
 
+impl PlacementQuery<'_> {
+    /// The same request, which may wait no longer.
+    pub(crate) fn at_last(&self) -> Self {
+        Self { is_last_resort: true, ..*self }
+    }
+}
+
 impl VersionFilter<'_> {
     /// Whether targets of this version may serve the request.
     #[must_use]
@@ -159,6 +171,7 @@
 pub(crate) fn cost(
     state: &TargetState,
     query: &PlacementQuery<'_>,
+    risk: PauseRisk,
     domains: &DomainMap,
     now: MonoTime,
 ) -> (f64, f64) {
@@ -166,9 +179,6 @@
     let expected = work_ms(state, query, distance);
     let target_ms = query.target_latency.as_secs_f64() * 1e3;
     let latency_ratio = (expected / target_ms.max(1.0)).min(MAX_LATENCY_RATIO);
-    let gap = query.gap_target.map_or(0.0, |gap_target| {
-        (state.longest_gap_ms() / (gap_target.as_secs_f64() * 1e3)).min(1.5)
-    });
     let end = expected + query.output_tokens as f64 * state.ms_per_token();
     let overrun = (end / (query.left.as_secs_f64() * 1e3).max(1.0)).min(MAX_OVERRUN);
     let overrun_cost = if overrun > 1.0 { OVERRUN_COST * overrun } else { 0.0 };
@@ -181,7 +191,8 @@
     let borrowing_cost = if state.has_idle_owned_slot() { 0.0 } else { BORROW_COST };
     let batch_cost = BATCH_COST * f64::from(state.load()) / f64::from(state.entry.slots.max(1));
     let failure_cost = FAILURE_COST * state.health.failure_share(now);
-    let lateness_cost = latency_ratio * latency_ratio + 0.3 * gap * gap + overrun_cost;
+    let pause_cost = LATE_COST * risk.late_streams();
+    let lateness_cost = latency_ratio * latency_ratio + pause_cost + overrun_cost;
     (
         lateness_cost
             + crossing_cost
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -4,6 +4,7 @@
 use kwg_model::MonoTime;
 
 use super::learned_mean::LearnedMean;
+use super::placement::FIRST_TOKEN_MS;
 use super::slot_share::SlotShare;
 use super::target_health::TargetHealth;
 use super::target_standing::TargetStanding;
@@ -24,6 +25,13 @@
 /// Prompt tokens that an engine reads in the time of one decoding step; between 236 and 300,
 /// depending on the site.
 const TOKENS_READ_PER_STEP: f64 = 260.0;
+/// Prompt tokens from which on the time to the first event shows how fast prompts are read: shorter ones take
+/// no longer than the other parts of that time.
+const MEASURED_PROMPT: u64 = 1_000;
+/// Bounds of a measured time for one prompt token, in milliseconds: a tenth and 20 times the usual times, so that a
+/// request which waited in the target's queue doesn't count as slow reading without bound.
+const MIN_READ_MS: f64 = 0.000_5;
+const MAX_READ_MS: f64 = 0.25;
 
 /// The assumed state of one target.
 #[derive(Debug, Clone)]
@@ -48,6 +56,8 @@
     step_ms: LearnedMean,
     /// Duration of this instance's successful attempts, in milliseconds.
     hold_ms: LearnedMean,
+    /// Time in which one prompt token was read for this instance's streams, in milliseconds.
+    read_ms: LearnedMean,
     /// Longest pause between events of each of this instance's streams, in milliseconds.
     longest_gap_ms: LearnedMean,
     /// The last report of each peer and its arrival time.
@@ -116,6 +126,7 @@
             bad: 0,
             step_ms: LearnedMean::default(),
             hold_ms: LearnedMean::default(),
+            read_ms: LearnedMean::default(),
             longest_gap_ms: LearnedMean::default(),
             reports: HashMap::new(),
             owners: Vec::new(),
@@ -226,9 +237,12 @@
         LearnedMean::combine(reported.chain([self.step_ms]), PRIOR_STEP_MS)
     }
 
-    /// Time in which the target reads one prompt token, in milliseconds.
+    /// Time in which the target reads one prompt token, in milliseconds; derived from the time of a decoding step
+    /// as far as it is not measured.
     pub(crate) fn read_ms_per_token(&self) -> f64 {
-        self.ms_per_token() / TOKENS_READ_PER_STEP
+        let reported = self.reports.values().map(|(_, report)| report.read());
+        let prior = self.ms_per_token() / TOKENS_READ_PER_STEP;
+        LearnedMean::combine(reported.chain([self.read_ms]), prior)
     }
 
     /// Mean duration of an attempt over all instances, in milliseconds.
@@ -247,10 +261,22 @@
         weights.fold(own.weight(), f64::max) > 0.0
     }
 
-    /// Mean of the longest pause between events of each stream of this instance, in milliseconds; 0
-    /// before the first stream.
+    /// Mean of the longest pause between events of each stream, over all instances, in milliseconds; 0 before the
+    /// first stream.
     pub(crate) fn longest_gap_ms(&self) -> f64 {
-        self.longest_gap_ms.mean()
+        let reported = self.reports.values().map(|(_, report)| report.gap());
+        LearnedMean::combine(reported.chain([self.longest_gap_ms]), 0.0)
+    }
+
+    /// Learns from the first event of a stream, which came after `first_ms`, how fast the target reads prompts.
+    /// Prompts of other requests that are read before it count as its own.
+    pub(crate) fn add_reading(&mut self, prompt_tokens: u64, first_ms: f64, event_tokens: f64) {
+        if prompt_tokens < MEASURED_PROMPT {
+            return;
+        }
+        let read_ms = first_ms - FIRST_TOKEN_MS - event_tokens * self.ms_per_token();
+        let sample = (read_ms / prompt_tokens as f64).clamp(MIN_READ_MS, MAX_READ_MS);
+        self.read_ms.add(sample);
     }
 
     pub(crate) fn add_sample(&mut self, sample: &AttemptSample) {
@@ -312,6 +338,10 @@
             step_weight: self.step_ms.weight() as u8,
             hold_ms: self.hold_ms.mean() as u32,
             hold_weight: self.hold_ms.weight() as u8,
+            read_ns: (self.read_ms.mean() * 1e6) as u32,
+            read_weight: self.read_ms.weight() as u8,
+            gap_ms: self.longest_gap_ms.mean() as u32,
+            gap_weight: self.longest_gap_ms.weight() as u8,
         }
     }
 }
@@ -324,4 +354,13 @@
     fn hold(&self) -> LearnedMean {
         LearnedMean::new(f64::from(self.hold_ms), f64::from(self.hold_weight))
     }
+
+    fn read(&self) -> LearnedMean {
+        let read_ms = (f64::from(self.read_ns) / 1e6).min(MAX_READ_MS);
+        LearnedMean::new(read_ms, f64::from(self.read_weight))
+    }
+
+    fn gap(&self) -> LearnedMean {
+        LearnedMean::new(f64::from(self.gap_ms), f64::from(self.gap_weight))
+    }
 }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -151,6 +151,21 @@
         }
     }
 
+    /// Records how long the first event of a stream took, which shows how fast the target reads prompts.
+    pub fn record_reading(
+        &mut self,
+        key: TargetKey,
+        prompt_tokens: u64,
+        event_tokens: f64,
+        sample: &AttemptSample,
+    ) {
+        if let (Some(state), Some(first)) = (self.targets.get_mut(key), sample.first_event) {
+            let round_trip = self.domains.distance(&state.entry.domain).round_trip();
+            let first_ms = first.saturating_sub(round_trip).as_secs_f64() * 1e3;
+            state.add_reading(prompt_tokens, first_ms, event_tokens);
+        }
+    }
+
     /// Records an attempt that the target failed.
     pub fn record_failure(&mut self, key: TargetKey, now: MonoTime) {
         if let Some(state) = self.targets.get_mut(key) {
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -4,6 +4,8 @@
 
 use super::TargetTracker;
 use super::version_targets::part_place;
+use crate::target::harm_limit::HarmLimit;
+use crate::target::pause_risk::PauseRisk;
 use crate::target::placement;
 use crate::target::target_state::TargetState;
 use crate::{Placement, PlacementDecision, PlacementQuery, TargetKey};
@@ -51,8 +53,14 @@
                 }
             }
         };
-        let with_capacity: Vec<_> = accepting.filter(has_capacity).collect();
-        match self.cheapest(with_capacity.into_iter(), query, now, draw) {
+        let assessed: Vec<_> =
+            accepting.map(|(key, state)| (key, state, PauseRisk::assess(state, query))).collect();
+        let risks = assessed.iter().map(|(_, state, risk)| (*risk, state.entry.slots));
+        let harm_limit = HarmLimit::new(risks, query);
+        let with_capacity = assessed
+            .into_iter()
+            .filter(|(key, state, risk)| harm_limit.allows(*risk) && has_capacity(&(*key, *state)));
+        match self.cheapest(with_capacity, query, now, draw) {
             Some(placement) => PlacementDecision::Send(placement),
             None if candidates().next().is_none() => PlacementDecision::NoTarget,
             None => PlacementDecision::Full,
@@ -125,14 +133,14 @@
 
     fn cheapest<'a>(
         &self,
-        candidates: impl Iterator<Item = (TargetKey, &'a TargetState)>,
+        candidates: impl Iterator<Item = (TargetKey, &'a TargetState, PauseRisk)>,
         query: &PlacementQuery<'_>,
         now: MonoTime,
         draw: f64,
     ) -> Option<Placement> {
         let mut best: Option<(f64, Placement)> = None;
-        for (index, (key, state)) in candidates.enumerate() {
-            let (cost, expected) = placement::cost(state, query, &self.domains, now);
+        for (index, (key, state, risk)) in candidates.enumerate() {
+            let (cost, expected) = placement::cost(state, query, risk, &self.domains, now);
             // The jitter keeps instances that see the same reports from choosing the same target.
             // There is more of it if another instance owns the slot.
             let jitter = if state.has_idle_owned_slot() { OWNED_JITTER } else { BORROWED_JITTER };
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -161,6 +161,7 @@
                     is_contended: waiting.iter().sum::<u32>() > waiting[index],
                     tried: &[],
                     version: VersionFilter::Any,
+                    is_last_resort: false,
                 };
                 let PlacementDecision::Send(placement) =
                     instances[index].2.place(&query, now, draw())
--- a/kwg-gate/tests/targets.rs
+++ b/kwg-gate/tests/targets.rs
@@ -54,6 +54,7 @@
         is_contended,
         tried,
         version: VersionFilter::Any,
+        is_last_resort: false,
     }
 }
 
