--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -3,6 +3,7 @@
 mod decision_clock;
 mod home_regions;
 mod joining;
+mod last_resort;
 mod next_run;
 mod planned_stop;
 mod second_target;
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -162,6 +162,7 @@
                     tried: &[],
                     version: VersionFilter::Any,
                     regions: None,
+                    is_last_resort: false,
                 };
                 let PlacementDecision::Send(placement) =
                     instances[index].2.place(&query, now, draw())
--- a/kwg-gate/tests/targets.rs
+++ b/kwg-gate/tests/targets.rs
@@ -55,6 +55,7 @@
         tried,
         version: VersionFilter::Any,
         regions: None,
+        is_last_resort: false,
     }
 }
 
