feat(gate): learned speed and capacity of each target

Cause: the times of targets were means of up to 20 answers of each instance. With 64 instances that is the past minutes, and a stream told its pace at its end only, long after a slow phase of some seconds.

Change: TargetSpeed owns what is learned of one run of a target. Running streams record their pace every 100 ms; samples fade with half-lives of 0.6 s (pace) and 5 s (reading, pauses, duration); peers' samples are faded by the age of their reports. LoadCurve fits the time of a token by load, TargetCapacity is the number of requests up to which the promised pause is kept: it limits placement and claims, moves by one slot in 200 ms (upwards in 400 ms), stays above a quarter of the slots and never exceeds the configured ones, which a last resort still uses. A target without evidence begins from the mean of its service. Figures are pooled each 200 ms rather than for each placement.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -118,6 +118,7 @@
         let is_later = self.table.as_ref().is_none_or(|known| known.version() < table.version());
         if is_later {
             self.table = Some(Arc::clone(table));
+            self.targets.set_promises(table.stream_promises());
             self.longest_waits.retain(|route| table.has_route(route));
         }
         is_later
--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -43,7 +43,8 @@
         self.record_no_end(details, target, sample, now);
         self.targets.record_success(target, sample, now);
         if plan.on_engine {
-            self.targets.record_reading(target, prompt_tokens, plan.tokens_per_event, sample);
+            let event_tokens = plan.tokens_per_event;
+            self.targets.record_reading(target, prompt_tokens, event_tokens, sample, now);
         }
         let outcome = AnswerOutcome::Delivered { pace_ms };
         self.count_for_move(target, &plan.route, details.arrived, outcome);
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -54,10 +54,10 @@
 };
 pub use table::{
     AccountRule, CallerLimits, EngineRule, QuotaRule, RequestKind, RouteMatch, RoutePool,
-    RouteRule, RouteTable, ServiceRule,
+    RouteRule, RouteTable, ServiceRule, StreamPromise,
 };
 pub use target::{
-    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
-    StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, SpeedReading,
+    StandingSource, StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId};
--- a/kwg-gate/src/table/mod.rs
+++ b/kwg-gate/src/table/mod.rs
@@ -6,6 +6,7 @@
 mod route_rule;
 mod route_table;
 mod service_rule;
+mod stream_promise;
 
 pub use account_rule::{AccountRule, QuotaRule};
 pub use caller_limits::CallerLimits;
@@ -13,3 +14,4 @@
 pub use route_rule::{RoutePool, RouteRule};
 pub use route_table::{RouteMatch, RouteTable};
 pub use service_rule::{EngineRule, ServiceRule};
+pub use stream_promise::StreamPromise;
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use crate::{AccountRule, CallerLimits, RouteRule, ServiceName, ServiceRule};
+use crate::{AccountRule, CallerLimits, RouteRule, ServiceName, ServiceRule, StreamPromise};
 
 /// One version of the configuration, indexed for lookups.
 #[derive(Debug, Clone, Default)]
@@ -80,6 +80,17 @@
         self.services.get(name)
     }
 
+    /// What the streams of each service with engines promise.
+    pub fn stream_promises(&self) -> impl Iterator<Item = (ServiceName, StreamPromise)> {
+        let engines = self.services.values().filter_map(|rule| Some((&rule.name, rule.engine?)));
+        engines.map(|(name, engine)| {
+            let serves = |route: &&RouteRule| route.pools.iter().any(|pool| pool.service == *name);
+            let routes = self.hosts.values().flatten().filter(serves);
+            let gap = routes.filter_map(|route| route.gap_target).min();
+            (name.clone(), StreamPromise { event_tokens: engine.tokens_per_event, gap })
+        })
+    }
+
     /// All accounts.
     pub fn accounts(&self) -> impl Iterator<Item = &AccountRule> {
         self.accounts.iter()
--- a/kwg-gate/src/target/pause_risk.rs
+++ b/kwg-gate/src/target/pause_risk.rs
@@ -35,7 +35,8 @@
             ((pause_ms / promised_ms - SAFE_PAUSE) / (LATE_PAUSE - SAFE_PAUSE)).clamp(0.0, 1.0)
         };
         let before_ms = event_ms + state.waiting_tokens() as f64 * read_ms;
-        let after_ms = before_ms + query.prompt_tokens as f64 * read_ms;
+        let next_event_ms = query.tokens_per_event * state.speed.next_step_ms();
+        let after_ms = before_ms - event_ms + next_event_ms + query.prompt_tokens as f64 * read_ms;
         let delayed = late_share(after_ms) - late_share(before_ms);
         let events = query.output_tokens as f64 / query.tokens_per_event.max(1.0);
         let exposure = (events / EXPOSED_EVENTS).min(1.0);
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -3,18 +3,12 @@
 
 use kwg_model::MonoTime;
 
-use super::learned_mean::LearnedMean;
-use super::placement::FIRST_TOKEN_MS;
 use super::slot_share::SlotShare;
 use super::target_health::TargetHealth;
+use super::target_speed::{TOKENS_READ_PER_STEP, TargetSpeed};
 use super::target_standing::TargetStanding;
 use crate::{InstanceMap, TargetEntry, TargetReport};
 
-/// Prior for the time of a decoding step, in milliseconds; counts as one sample in the mean.
-const PRIOR_STEP_MS: f64 = 3.0;
-/// Prior for the time of a request that is not a generation, in milliseconds; counts as one sample
-/// in the mean.
-const PRIOR_HOLD_MS: f64 = 60.0;
 /// Part of the target latency of a plain service that requests may spend in a target's queue.
 const QUEUE_SHARE: f64 = 0.3;
 /// Interval at which slots are claimed: with each digest.
@@ -22,17 +16,6 @@
 /// Time of an answer below which differences are chance rather than a property of the target, in
 /// milliseconds.
 const FAST_ANSWER_MS: f64 = 20.0;
-/// Prompt tokens that an engine reads in the time of one decoding step; between 236 and 300,
-/// depending on the site.
-const TOKENS_READ_PER_STEP: f64 = 260.0;
-/// Prompt tokens from which on the time to the first event shows how fast prompts are read: shorter ones take
-/// no longer than the other parts of that time.
-const MEASURED_PROMPT: u64 = 1_000;
-/// Bounds of a measured time for one prompt token, in milliseconds: a tenth and 20 times the usual times, so that a
-/// request which waited in the target's queue doesn't count as slow reading without bound.
-const MIN_READ_MS: f64 = 0.000_5;
-const MAX_READ_MS: f64 = 0.25;
-
 /// The assumed state of one target.
 #[derive(Debug, Clone)]
 pub(crate) struct TargetState {
@@ -52,16 +35,10 @@
     pub(crate) good: u32,
     /// Number of this instance's attempts that the target failed.
     pub(crate) bad: u32,
-    /// Time of a decoding step in this instance's streams, in milliseconds.
-    step_ms: LearnedMean,
-    /// Duration of this instance's successful attempts, in milliseconds.
-    hold_ms: LearnedMean,
-    /// Time in which one prompt token was read for this instance's streams, in milliseconds.
-    read_ms: LearnedMean,
-    /// Longest pause between events of each of this instance's streams, in milliseconds.
-    longest_gap_ms: LearnedMean,
+    /// What is learned of its speed.
+    pub(crate) speed: TargetSpeed,
     /// The last report of each peer and its arrival time.
-    reports: HashMap<String, (MonoTime, TargetReport)>,
+    pub(crate) reports: HashMap<String, (MonoTime, TargetReport)>,
     /// The other instances that own slots, and how many.
     owners: Vec<(String, u32)>,
 }
@@ -114,6 +91,7 @@
     pub(crate) fn new(entry: TargetEntry) -> Self {
         let mut standing = TargetStanding::default();
         standing.record_entry(entry.is_draining);
+        let speed = TargetSpeed::new(entry.slots);
         Self {
             entry,
             health: TargetHealth::default(),
@@ -124,10 +102,7 @@
             share: SlotShare::default(),
             good: 0,
             bad: 0,
-            step_ms: LearnedMean::default(),
-            hold_ms: LearnedMean::default(),
-            read_ms: LearnedMean::default(),
-            longest_gap_ms: LearnedMean::default(),
+            speed,
             reports: HashMap::new(),
             owners: Vec::new(),
         }
@@ -142,10 +117,15 @@
 
     /// Whether this instance may take a free slot for one more request.
     pub(crate) fn has_capacity(&self, is_contended: bool, is_local: bool) -> bool {
-        let is_ample = || SlotShare::is_ample(self.entry.slots, self.load(), is_local);
+        let is_ample = || SlotShare::is_ample(self.speed.capacity(), self.load(), is_local);
         self.usable_slots() > 0 || (!is_contended && is_ample())
     }
 
+    /// Whether it may take one of the slots in which streams don't keep their pauses.
+    pub(crate) fn has_last_capacity(&self) -> bool {
+        self.share.usable(self.entry.slots, self.load(), self.running) > 0
+    }
+
     /// Whether one more request to a plain service is expected to leave the target's queue soon
     /// enough to be on time. Its slots need no owners: a queue of a few short requests costs less
     /// than agreeing on each slot with all other instances.
@@ -166,7 +146,7 @@
 
     /// Number of free slots that this instance may take.
     pub(crate) fn usable_slots(&self) -> u32 {
-        self.share.usable(self.entry.slots, self.load(), self.running)
+        self.share.usable(self.speed.capacity(), self.load(), self.running)
     }
 
     /// Applies an allocation of the slots to their owners.
@@ -195,7 +175,7 @@
         has_waiting: impl Fn(&str) -> Option<bool>,
         is_local: bool,
     ) -> u32 {
-        let free = self.entry.slots.saturating_sub(self.load());
+        let free = self.speed.capacity().saturating_sub(self.load());
         let domain = InstanceMap::domain_peer_name(&self.entry.domain);
         let domain_waits = || has_waiting(&domain);
         let wanted = |(owner, owned): &(String, u32)| match has_waiting(owner) {
@@ -233,60 +213,36 @@
 
     /// Mean time per token of an answer, in milliseconds, in batches of recent size.
     pub(crate) fn ms_per_token(&self) -> f64 {
-        let reported = self.reports.values().map(|(_, report)| report.step());
-        LearnedMean::combine(reported.chain([self.step_ms]), PRIOR_STEP_MS)
+        self.speed.figures().step_ms
     }
 
     /// Time in which the target reads one prompt token, in milliseconds; derived from the time of a decoding step
     /// as far as it is not measured.
     pub(crate) fn read_ms_per_token(&self) -> f64 {
-        let reported = self.reports.values().map(|(_, report)| report.read());
-        let prior = self.ms_per_token() / TOKENS_READ_PER_STEP;
-        LearnedMean::combine(reported.chain([self.read_ms]), prior)
+        self.speed.figures().read_ms
     }
 
     /// Mean duration of an attempt over all instances, in milliseconds.
     pub(crate) fn hold_ms(&self) -> f64 {
-        let reported = self.reports.values().map(|(_, report)| report.hold());
-        LearnedMean::combine(reported.chain([self.hold_ms]), PRIOR_HOLD_MS)
+        self.speed.figures().hold_ms
     }
 
     /// Whether there are measurements of answers, of any instance, from which times can be predicted.
     pub(crate) fn is_measured(&self, on_engine: bool) -> bool {
-        let weights = self.reports.values().map(|(_, report)| match on_engine {
-            true => report.step().weight(),
-            false => report.hold().weight(),
-        });
-        let own = if on_engine { self.step_ms } else { self.hold_ms };
-        weights.fold(own.weight(), f64::max) > 0.0
+        let figures = self.speed.figures();
+        let weight = if on_engine { figures.step_weight } else { figures.hold_weight };
+        weight > 0.0
     }
 
     /// Mean of the longest pause between events of each stream, over all instances, in milliseconds; 0 before the
     /// first stream.
     pub(crate) fn longest_gap_ms(&self) -> f64 {
-        let reported = self.reports.values().map(|(_, report)| report.gap());
-        LearnedMean::combine(reported.chain([self.longest_gap_ms]), 0.0)
-    }
-
-    /// Learns from the first event of a stream, which came after `first_ms`, how fast the target reads prompts.
-    /// Prompts of other requests that are read before it count as its own.
-    pub(crate) fn add_reading(&mut self, prompt_tokens: u64, first_ms: f64, event_tokens: f64) {
-        if prompt_tokens < MEASURED_PROMPT {
-            return;
-        }
-        let read_ms = first_ms - FIRST_TOKEN_MS - event_tokens * self.ms_per_token();
-        let sample = (read_ms / prompt_tokens as f64).clamp(MIN_READ_MS, MAX_READ_MS);
-        self.read_ms.add(sample);
+        self.speed.figures().gap_ms
     }
 
-    pub(crate) fn add_sample(&mut self, sample: &AttemptSample) {
-        self.hold_ms.add(sample.hold.as_secs_f64() * 1e3);
-        if let Some(gap) = sample.event_gap {
-            self.step_ms.add(gap.as_secs_f64() * 1e3 / sample.tokens_per_event.max(1.0));
-        }
-        if let Some(gap) = sample.longest_gap {
-            self.longest_gap_ms.add(gap.as_secs_f64() * 1e3);
-        }
+    pub(crate) fn add_sample(&mut self, sample: &AttemptSample, now: MonoTime) {
+        self.speed.add_sample(sample, now);
+        self.pool_speed(now);
     }
 
     /// Whether one more request of this instance may be sent to the target: it is not leaving, and wants
@@ -317,7 +273,11 @@
             (None, Some(report)) => {
                 self.reports.insert(peer.to_owned(), (now, report));
             }
-            (None, None) => {}
+            (None, None) => return,
+        }
+        // The figures are computed with each interval; only the first evidence is used at once.
+        if !self.is_measured(true) && !self.is_measured(false) {
+            self.pool_speed(now);
         }
     }
 
@@ -328,39 +288,15 @@
 
     /// The report of this instance for its peers.
     pub(crate) fn report(&self) -> TargetReport {
-        TargetReport {
+        let mut report = TargetReport {
             leaving_run: if self.standing.has_own_word() { self.run_mark() } else { 0 },
             running: u16::try_from(self.running).unwrap_or(u16::MAX),
             unread_tokens: u32::try_from(self.unread_tokens).unwrap_or(u32::MAX),
             good: self.good,
             bad: self.bad,
-            step_us: (self.step_ms.mean() * 1e3) as u32,
-            step_weight: self.step_ms.weight() as u8,
-            hold_ms: self.hold_ms.mean() as u32,
-            hold_weight: self.hold_ms.weight() as u8,
-            read_ns: (self.read_ms.mean() * 1e6) as u32,
-            read_weight: self.read_ms.weight() as u8,
-            gap_ms: self.longest_gap_ms.mean() as u32,
-            gap_weight: self.longest_gap_ms.weight() as u8,
-        }
-    }
-}
-
-impl TargetReport {
-    fn step(&self) -> LearnedMean {
-        LearnedMean::new(f64::from(self.step_us) / 1e3, f64::from(self.step_weight))
-    }
-
-    fn hold(&self) -> LearnedMean {
-        LearnedMean::new(f64::from(self.hold_ms), f64::from(self.hold_weight))
-    }
-
-    fn read(&self) -> LearnedMean {
-        let read_ms = (f64::from(self.read_ns) / 1e6).min(MAX_READ_MS);
-        LearnedMean::new(read_ms, f64::from(self.read_weight))
-    }
-
-    fn gap(&self) -> LearnedMean {
-        LearnedMean::new(f64::from(self.gap_ms), f64::from(self.gap_weight))
+            ..TargetReport::default()
+        };
+        self.speed.fill_report(&mut report);
+        report
     }
 }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,4 +1,5 @@
 mod slot_allocation;
+mod speed_tracking;
 mod target_choice;
 mod target_words;
 mod version_targets;
@@ -11,8 +12,8 @@
 use super::departed_targets::DepartedTargets;
 use super::target_state::TargetState;
 use crate::{
-    AttemptSample, DomainMap, GateDigest, InstanceMap, TargetCode, TargetEntry, TargetId,
-    TargetRegistry, TargetReport, TargetRun,
+    AttemptSample, DomainMap, GateDigest, InstanceMap, ServiceName, StreamPromise, TargetCode,
+    TargetEntry, TargetId, TargetRegistry, TargetReport, TargetRun,
 };
 
 new_key_type! {
@@ -29,6 +30,8 @@
     ids: HashMap<TargetId, TargetKey>,
     codes: HashMap<TargetCode, TargetKey>,
     departed: DepartedTargets,
+    /// What the streams of each service promise.
+    promises: HashMap<ServiceName, StreamPromise>,
 }
 
 impl TargetTracker {
@@ -147,22 +150,7 @@
             state.good += 1;
             state.health.record_success(now);
             state.standing.record_success(state.entry.slots);
-            state.add_sample(sample);
-        }
-    }
-
-    /// Records how long the first event of a stream took, which shows how fast the target reads prompts.
-    pub fn record_reading(
-        &mut self,
-        key: TargetKey,
-        prompt_tokens: u64,
-        event_tokens: f64,
-        sample: &AttemptSample,
-    ) {
-        if let (Some(state), Some(first)) = (self.targets.get_mut(key), sample.first_event) {
-            let round_trip = self.domains.distance(&state.entry.domain).round_trip();
-            let first_ms = first.saturating_sub(round_trip).as_secs_f64() * 1e3;
-            state.add_reading(prompt_tokens, first_ms, event_tokens);
+            state.add_sample(sample, now);
         }
     }
 
--- a/kwg-gate/src/target/target_tracker/slot_allocation.rs
+++ b/kwg-gate/src/target/target_tracker/slot_allocation.rs
@@ -22,6 +22,7 @@
         draw: f64,
         now: MonoTime,
     ) {
+        self.refresh_speeds(now);
         let mut draws = DrawSequence(draw);
         for state in self.targets.values_mut() {
             let service = state.entry.service.as_str();
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -46,7 +46,10 @@
             match (query.on_engine, load_limit) {
                 // A few targets would reach the limit too late if each instance used its own slots only.
                 (true, Some(limit)) => state.load() < limit.min(state.entry.slots),
-                (true, None) => state.has_capacity(query.is_contended, is_local),
+                (true, None) => {
+                    state.has_capacity(query.is_contended, is_local)
+                        || (query.is_last_resort && state.has_last_capacity())
+                }
                 (false, limit) => {
                     limit.is_none_or(|limit| state.load() < limit)
                         && state.is_served_in_time(query.target_latency)
--- a/kwg-gate/tests/support/engine_model.rs
+++ b/kwg-gate/tests/support/engine_model.rs
@@ -24,6 +24,8 @@
     pub begun_ms: f64,
     /// Times of its events.
     pub events_ms: Vec<f64>,
+    /// Number of events up to which its pace has been reported.
+    pub reported: usize,
 }
 
 /// An engine that makes a token of each running stream in each step, and reads prompts between the steps.
@@ -54,6 +56,7 @@
                 made: 0,
                 begun_ms: now_ms,
                 events_ms: Vec::new(),
+                reported: 1,
             });
         }
         has_room
--- a/kwg-gate/tests/support/speed_fleet.rs
+++ b/kwg-gate/tests/support/speed_fleet.rs
@@ -5,7 +5,8 @@
 
 use kwg_gate::{
     AttemptSample, DomainMap, GateDigest, InstanceMap, PlacementDecision, PlacementQuery,
-    ServiceName, TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker, VersionFilter,
+    ServiceName, StreamPromise, TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker,
+    VersionFilter,
 };
 use kwg_model::MonoTime;
 
@@ -13,6 +14,9 @@
 
 const TICK_MS: u64 = 5;
 const REPORT_MS: u64 = 200;
+/// The promised pause.
+const GAP_MS: u64 = 200;
+const PACE_WINDOW_MS: f64 = 100.0;
 
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
@@ -25,7 +29,7 @@
 }
 
 /// A request that waits or runs.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 struct Request {
     kind: usize,
     prompt: u64,
@@ -52,7 +56,6 @@
     pub engines: Vec<EngineModel>,
     pub nodes: Vec<TargetTracker>,
     pub kinds: Vec<StreamKind>,
-    pub gap_ms: u64,
     /// Time that digests are on their way.
     pub report_delay_ms: u64,
     pub now_ms: u64,
@@ -66,7 +69,8 @@
     requests: Vec<Request>,
     waiting: Vec<Vec<usize>>,
     messages: Vec<(u64, usize, String, GateDigest)>,
-    seed: u64,
+    /// Generators for arrivals, which are the same whatever is decided, and for decisions.
+    seeds: [u64; 2],
 }
 
 impl SpeedFleet {
@@ -85,10 +89,14 @@
         });
         registry.replace(1, entries, MonoTime::ZERO);
         let domains: BTreeMap<_, _> = [("d".to_owned(), names.clone())].into();
+        let event_tokens = f64::from(engines[0].event_tokens);
         let tracker = |own: &String| {
             let regions = HashMap::from([("d".to_owned(), "r".to_owned())]);
             let mut tracker = TargetTracker::new(DomainMap { own: "d".to_owned(), regions });
             tracker.sync(&registry);
+            let gap = Some(Duration::from_millis(GAP_MS));
+            let promise = StreamPromise { event_tokens, gap };
+            tracker.set_promises([(ServiceName::new("llm"), promise)].into_iter());
             tracker.set_instances(&InstanceMap { own: own.clone(), domains: domains.clone() });
             tracker
         };
@@ -99,23 +107,24 @@
             load_sums: vec![0.0; engines.len()],
             kinds: kinds.to_vec(),
             engines,
-            gap_ms: 200,
             report_delay_ms: 50,
             now_ms: 0,
             ticks: 0,
             requests: Vec::new(),
             waiting: vec![Vec::new(); nodes],
             messages: Vec::new(),
-            seed: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
+            seeds: [1, 2].map(|part| (seed * 2 + part).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
         }
     }
 
-    /// A number in [0, 1).
+    /// A number in [0, 1) for a decision.
     fn draw(&mut self) -> f64 {
-        self.seed ^= self.seed << 13;
-        self.seed ^= self.seed >> 7;
-        self.seed ^= self.seed << 17;
-        (self.seed >> 11) as f64 / (1_u64 << 53) as f64
+        next_draw(&mut self.seeds[1])
+    }
+
+    /// A number in [0, 1) for an arrival.
+    fn draw_arrival(&mut self) -> f64 {
+        next_draw(&mut self.seeds[0])
     }
 
     pub fn now(&self) -> MonoTime {
@@ -157,15 +166,17 @@
     fn arrive(&mut self, load: f64) {
         for kind in 0..self.kinds.len() {
             let expected = self.kinds[kind].rate_per_s * load * TICK_MS as f64 / 1e3;
-            let mut product = self.draw();
+            let mut product = self.draw_arrival();
             while product > (-expected).exp() {
-                product *= self.draw();
-                let size = (-self.draw().max(1e-9).ln()).clamp(0.1, 8.0);
-                let length = (-self.draw().max(1e-9).ln()).clamp(0.1, 8.0);
+                product *= self.draw_arrival();
+                let size = (-self.draw_arrival().max(1e-9).ln()).clamp(0.1, 8.0);
+                let length = (-self.draw_arrival().max(1e-9).ln()).clamp(0.1, 8.0);
                 let StreamKind { prompt, events, .. } = self.kinds[kind];
                 let tokens = f64::from(self.engines[0].event_tokens);
                 // Two draws make some instances busier than others.
-                let node = (self.draw() * self.draw().sqrt() * self.nodes.len() as f64) as usize;
+                let node = (self.draw_arrival()
+                    * self.draw_arrival().sqrt()
+                    * self.nodes.len() as f64) as usize;
                 self.requests.push(Request {
                     kind,
                     prompt: (prompt * size) as u64,
@@ -185,7 +196,7 @@
     fn place(&mut self, number: usize) -> bool {
         let draw = self.draw();
         let (now, now_ms) = (self.now(), self.now_ms);
-        let (request, node) = (self.requests[number].clone(), self.requests[number].node);
+        let (request, node) = (self.requests[number], self.requests[number].node);
         let kind = self.kinds[request.kind];
         let mut tried = Vec::new();
         loop {
@@ -199,7 +210,7 @@
                 ),
                 on_engine: true,
                 target_latency: Duration::from_millis(kind.latency_ms),
-                gap_target: Some(Duration::from_millis(self.gap_ms)),
+                gap_target: Some(Duration::from_millis(GAP_MS)),
                 is_contended: self.waiting.iter().any(|waiting| !waiting.is_empty()),
                 tried: &tried,
                 version: VersionFilter::Any,
@@ -237,16 +248,37 @@
         for engine in 0..self.engines.len() {
             let (read, finished) = self.engines[engine].advance(self.now_ms as f64);
             for number in read {
-                let Request { node, target, prompt, .. } = self.requests[number].clone();
+                let Request { node, target, prompt, .. } = self.requests[number];
                 let (_, key) = target.expect("placed");
                 self.nodes[node].record_prompt_read(key, prompt);
             }
+            self.report_pace(engine);
             finished.into_iter().for_each(|stream| self.finish(engine, &stream));
         }
     }
 
+    /// Records the pace of running streams, each every 100 ms at most.
+    fn report_pace(&mut self, engine: usize) {
+        let now = self.now();
+        for stream in &mut self.engines[engine].streams {
+            let count = stream.events_ms.len();
+            if count <= stream.reported {
+                continue;
+            }
+            let span_ms = stream.events_ms[count - 1] - stream.events_ms[stream.reported - 1];
+            if span_ms >= PACE_WINDOW_MS {
+                let Request { node, target, .. } = self.requests[stream.request];
+                let (_, key) = target.expect("placed");
+                let (events, span) =
+                    ((count - stream.reported) as u64, Duration::from_secs_f64(span_ms / 1e3));
+                self.nodes[node].record_pace(key, events, span, now);
+                stream.reported = count;
+            }
+        }
+    }
+
     fn finish(&mut self, engine: usize, stream: &EngineStream) {
-        let request = self.requests[stream.request].clone();
+        let request = self.requests[stream.request];
         let (_, key) = request.target.expect("placed");
         let span = |ms: f64| Duration::from_secs_f64(ms / 1e3);
         let (first, last) = (stream.events_ms[0], *stream.events_ms.last().expect("an event"));
@@ -265,10 +297,10 @@
         let tracker = &mut self.nodes[request.node];
         tracker.end_attempt(key);
         tracker.record_success(key, &sample, now);
-        tracker.record_reading(key, request.prompt, tokens, &sample);
+        tracker.record_reading(key, request.prompt, tokens, &sample, now);
         let kind = self.kinds[request.kind];
         let late_first = first - request.arrived_ms as f64 > kind.latency_ms as f64;
-        let late_pause = stream.longest_gap_ms() > self.gap_ms as f64;
+        let late_pause = stream.longest_gap_ms() > GAP_MS as f64;
         for tally in [&mut self.by_kind[request.kind], &mut self.by_engine[engine]] {
             tally.answered += 1;
             tally.late_first += u32::from(late_first);
@@ -309,3 +341,10 @@
         }
     }
 }
+
+fn next_draw(seed: &mut u64) -> f64 {
+    *seed ^= *seed << 13;
+    *seed ^= *seed >> 7;
+    *seed ^= *seed << 17;
+    (*seed >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/kwg-gate/tests/unequal_speeds.rs
+++ b/kwg-gate/tests/unequal_speeds.rs
@@ -5,9 +5,13 @@
 #[path = "support/speed_fleet.rs"]
 mod speed_fleet;
 
+use std::fmt;
+
 use engine_model::EngineModel;
 use speed_fleet::{SpeedFleet, StreamKind, StreamTally};
 
+/// Number of runs that are summed up.
+const SEEDS: u64 = 3;
 const SLOTS: usize = 11;
 const EVENT_TOKENS: u32 = 9;
 const SPEEDS: [f64; 3] = [0.55, 1.0, 2.8];
@@ -58,15 +62,47 @@
     f64::from(part) / f64::from(whole.max(1))
 }
 
-/// What the figures of a run are, for the message of a failed check.
-fn figures(fleet: &SpeedFleet) -> String {
-    let speeds = SPEEDS.iter().enumerate().map(|(index, speed)| {
-        let tally = sum(fleet.by_engine.iter().skip(index).step_by(3));
-        let load: f64 = (0..4).map(|group| fleet.mean_load(group * 3 + index)).sum::<f64>() / 4.0;
-        format!("speed {speed}: load {load:.1}, {tally:?}\n")
-    });
-    let kinds = fleet.by_kind.iter().map(|tally| format!("{tally:?}\n"));
-    speeds.chain(kinds).collect()
+/// Results of some runs: by speed of the engines, slowest first, with the mean load, and by kind.
+struct Outcome {
+    by_speed: Vec<(f64, StreamTally)>,
+    by_kind: Vec<StreamTally>,
+}
+
+impl Outcome {
+    /// Runs fleets of 13 instances for 20 s each, after 10 s that don't count.
+    fn of_load(load: f64) -> Self {
+        let fleets: Vec<SpeedFleet> = (1..=SEEDS)
+            .map(|seed| {
+                let mut fleet = fleet(13, seed);
+                fleet.run(10_000, load);
+                fleet.reset();
+                fleet.run(20_000, load);
+                fleet
+            })
+            .collect();
+        let by_speed = (0..SPEEDS.len()).map(|speed| {
+            let engines = || (speed..fleets[0].engines.len()).step_by(SPEEDS.len());
+            let loads = fleets.iter().flat_map(|fleet| engines().map(|own| fleet.mean_load(own)));
+            let mean_load = loads.sum::<f64>() / (engines().count() * fleets.len()) as f64;
+            let tallies =
+                fleets.iter().flat_map(|fleet| engines().map(|own| &fleet.by_engine[own]));
+            (mean_load, sum(tallies))
+        });
+        let by_kind =
+            (0..KINDS.len()).map(|kind| sum(fleets.iter().map(|fleet| &fleet.by_kind[kind])));
+        let outcome = Self { by_speed: by_speed.collect(), by_kind: by_kind.collect() };
+        println!("load {load}\n{outcome}");
+        outcome
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (load, tally)) in self.by_speed.iter().enumerate() {
+            writeln!(f, "speed {}: mean load {load:.1}, {tally:?}", SPEEDS[index])?;
+        }
+        self.by_kind.iter().try_for_each(|tally| writeln!(f, "{tally:?}"))
+    }
 }
 
 /// Slow engines ran as many requests as fast ones, long prompts among them, and so 23 in 100 of their streams had a
@@ -74,14 +110,10 @@
 #[test]
 fn slow_engines_keep_the_pauses_of_their_streams() {
     for load in [1.0, 1.2, 1.5] {
-        let mut fleet = fleet(13, 1);
-        fleet.run(10_000, load);
-        fleet.reset();
-        fleet.run(20_000, load);
-        println!("load {load}\n{}", figures(&fleet));
-        let slow = sum(fleet.by_engine.iter().step_by(3));
-        assert!(share(slow.late_pause, slow.answered) < 0.06, "{load}: {}", figures(&fleet));
-        assert!(slow.answered > 200, "slow engines are used: {}", figures(&fleet));
+        let outcome = Outcome::of_load(load);
+        let (_, slow) = outcome.by_speed[0];
+        assert!(share(slow.late_pause, slow.answered) < 0.06, "{load}: {outcome}");
+        assert!(slow.answered > 200 * SEEDS as u32, "slow engines are used: {outcome}");
     }
 }
 
@@ -89,12 +121,9 @@
 /// long prompts were refused, and 583 answered on time.
 #[test]
 fn an_overload_is_not_refused_beside_slow_engines() {
-    let mut fleet = fleet(13, 1);
-    fleet.run(10_000, 1.5);
-    fleet.reset();
-    fleet.run(20_000, 1.5);
-    let long = fleet.by_kind[0];
-    assert!(share(long.refused, long.asked) < 0.22, "{}", figures(&fleet));
-    assert!(share(long.on_time, long.asked) > 0.7, "{}", figures(&fleet));
-    assert!(fleet.mean_load(0) > 0.8 * SLOTS as f64, "{}", figures(&fleet));
+    let outcome = Outcome::of_load(1.5);
+    let long = outcome.by_kind[0];
+    assert!(share(long.refused, long.asked) < 0.22, "{outcome}");
+    assert!(share(long.on_time, long.asked) > 0.7, "{outcome}");
+    assert!(outcome.by_speed[0].0 > 0.8 * SLOTS as f64, "{outcome}");
 }
--- a/kwg-gateway/src/traffic/target_exchange.rs
+++ b/kwg-gateway/src/traffic/target_exchange.rs
@@ -192,6 +192,7 @@
             self.link.guard.record_prompt_read();
             self.silent_since = self.state.clock.now();
             self.pace.record_events(relay.event_count() - before, self.silent_since);
+            self.link.guard.record_events(relay.event_count() - before, self.silent_since);
         }
         Ok(has_events)
     }
