Store feeds end every poll 3.3 s after a silence, and tell each other of it

Cause: open connections to the store may go silent for good. The poll for orders was given up only after 4.0 + 1.0 s and that for targets after 2.5 + 1.0 s; kernel probes are answered by the network, and no peer is ahead, since all instances send their polls after the same change.

Ruled out: ending the wait by peers' reports (they go silent too, and report nothing new); relying on the other feed alone (only a share of the connections may be silent).

Change: a poll waits 2.1 to 2.5 s, drawn for each (StoreFeed::begin takes a draw), 0.8 to 1.2 s after a poll that brought changes, and its reply may take 0.8 s more. The first call without a reply is repeated without a pause. A feed without a reply makes the other one give up a poll that was sent before (FeedAlarm, event=poll-given-up). Links between instances are closed after 2.0 s of silence instead of 4.0 s, since changes that store readers forward pass over them. StoreFeed::with_grace is gone: both tables wait for the same time. The limits of calls are in kwg-gate now (FeedCall::reply_limit), so that the tests' model has those of the product.

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -4,12 +4,21 @@
 
 use super::{CheckPlan, StoreWitness};
 
-/// How long the store may hold a long poll for changes. It bounds how long a poll that the store has lost hides
-/// changes. A dead connection is detected sooner, by probes or because a peer reports a newer revision.
-const FEED_WAIT: Duration = Duration::from_secs(4);
-/// The same for a table whose removed rows are kept for a grace period after an outage, which begins only when
-/// the outage is known to be over.
-const GRACE_FEED_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest time for which the store may hold a poll. An open connection may go silent for good, and peers' polls
+/// with it: then only the end of this wait and of [`REPLY_TIME`], 3.3 s in all, show it, and the next change
+/// has to be in force 4.0 s after the silence.
+const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
+/// Shortest time for which the store may hold a poll of a quiet table. Waits are drawn between the two, so
+/// that instances that were answered at the same moment do not all notice a silence at the last one. A lower
+/// bound costs more calls: 1,565 an hour for each table with this one.
+const SHORTEST_WAIT: Duration = Duration::from_millis(2_100);
+/// The longest wait of a poll that follows a change: another change often follows soon. It costs at most one
+/// call for each change.
+const CHANGED_WAIT: Duration = Duration::from_millis(1_200);
+/// Time for a reply beyond the wait of the call. Lost packets are sent again after 0.2 and 0.6 s.
+const REPLY_TIME: Duration = Duration::from_millis(800);
+/// Time limit for the reply to a reading.
+const READ_TIME: Duration = Duration::from_millis(1_500);
 /// The pause after a first failed call; it doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause between calls, short enough to detect a recovered store well within the
@@ -29,11 +38,11 @@
 /// use kwg_model::MonoTime;
 ///
 /// let (witness, start) = (StoreWitness::default(), MonoTime::from_millis(1));
-/// let calling = StoreFeed::new().begin(start);
+/// let calling = StoreFeed::new().begin(start, 0.5);
 /// assert_eq!(calling.call(), FeedCall::Read);
 /// let (feed, _) = calling.answered(&witness, start);
 /// // The reading reported the revision 9, and may be older than that.
-/// let calling = feed.plan_checks(9, start).begin(start);
+/// let calling = feed.plan_checks(9, start).begin(start, 0.5);
 /// assert_eq!(calling.call(), FeedCall::Follow { wait: Duration::from_millis(700) });
 /// let pausing = calling.failed(CallFailure::Broken, &witness, start, 0.5);
 /// assert_eq!(pausing.until(), start + Duration::from_millis(150));
@@ -78,6 +87,26 @@
     },
 }
 
+impl FeedCall {
+    /// Time limit for the reply to each request of the call.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use kwg_gate::FeedCall;
+    ///
+    /// let call = FeedCall::Follow { wait: Duration::from_secs(2) };
+    /// assert!(call.reply_limit() > Duration::from_secs(2));
+    /// ```
+    #[must_use]
+    pub fn reply_limit(self) -> Duration {
+        match self {
+            Self::Read | Self::Check { .. } => READ_TIME,
+            Self::Follow { wait } => wait + REPLY_TIME,
+        }
+    }
+}
+
 /// How a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallFailure {
@@ -90,8 +119,8 @@
 
 #[derive(Debug)]
 struct FeedSchedule {
-    /// How long the store may hold a long poll.
-    longest_wait: Duration,
+    /// Whether the last poll was answered before its wait was over: the table changes.
+    is_changing: bool,
     /// The pause after the next failed call.
     pause: Duration,
     /// Whether the whole table is to be read.
@@ -107,18 +136,8 @@
     #[must_use]
     #[expect(clippy::new_without_default, reason = "a default would hide the state")]
     pub fn new() -> Self {
-        Self::waiting_up_to(FEED_WAIT)
-    }
-
-    /// As [`Self::new`], for a table whose removed rows are kept for a grace period after an outage of the store.
-    #[must_use]
-    pub fn with_grace() -> Self {
-        Self::waiting_up_to(GRACE_FEED_WAIT)
-    }
-
-    fn waiting_up_to(longest_wait: Duration) -> Self {
         let schedule = FeedSchedule {
-            longest_wait,
+            is_changing: false,
             pause: MIN_PAUSE,
             needs_reading: true,
             checks: None,
@@ -127,18 +146,19 @@
         Self { schedule, state: Waiting }
     }
 
-    /// Chooses the next call.
+    /// Chooses the next call. `draw` is a uniform random number in [0, 1), which spreads the ends of polls that
+    /// all instances send after the same change.
     #[must_use]
-    pub fn begin(self, now: MonoTime) -> StoreFeed<Calling> {
-        let FeedSchedule { longest_wait, needs_reading, checks, failing_since, .. } =
-            &self.schedule;
+    pub fn begin(self, now: MonoTime, draw: f64) -> StoreFeed<Calling> {
+        let FeedSchedule { needs_reading, checks, failing_since, .. } = &self.schedule;
+        let longest_wait = self.schedule.longest_wait(draw);
         let call = match checks {
             _ if *needs_reading => FeedCall::Read,
             // The store is back once it answers, not once something changes.
             _ if failing_since.is_some() => FeedCall::Follow { wait: Duration::ZERO },
             Some(plan) if plan.is_due(now) => FeedCall::Check { floor: plan.floor() },
-            Some(plan) => FeedCall::Follow { wait: plan.time_left(now).min(*longest_wait) },
-            None => FeedCall::Follow { wait: *longest_wait },
+            Some(plan) => FeedCall::Follow { wait: plan.time_left(now).min(longest_wait) },
+            None => FeedCall::Follow { wait: longest_wait },
         };
         StoreFeed { schedule: self.schedule, state: Calling { call, sent: now } }
     }
@@ -151,6 +171,14 @@
     }
 }
 
+impl FeedSchedule {
+    /// How long the store may hold the next poll.
+    fn longest_wait(&self, draw: f64) -> Duration {
+        let longest = if self.is_changing { CHANGED_WAIT } else { LONGEST_WAIT };
+        longest - (LONGEST_WAIT - SHORTEST_WAIT).mul_f64(draw)
+    }
+}
+
 impl<S> StoreFeed<S> {
     /// Plans checks of the table, until one is proved to show all changes up to the revision `floor`: what
     /// was read may be stale, or the feed may have lacked changes before it broke off.
@@ -184,12 +212,58 @@
         StoreFeed { schedule: self.schedule, state: Waiting }
     }
 
+    /// Whether the call is to be given up because the feed of the other table got no reply that was due at
+    /// `due`: connections to the store may have gone silent, and this one with it. A poll that was sent later
+    /// followed a reply; other calls end soon by themselves.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use kwg_gate::{FeedCall, StoreFeed, StoreWitness};
+    /// use kwg_model::MonoTime;
+    ///
+    /// let (witness, start) = (StoreWitness::default(), MonoTime::from_millis(1));
+    /// let (feed, _) = StoreFeed::new().begin(start, 0.5).answered(&witness, start);
+    /// let (calling, due) = (feed.begin(start, 0.5), start + Duration::from_secs(1));
+    /// assert!(calling.is_suspect(due));
+    /// let calling = calling.given_up().begin(due + Duration::from_secs(1), 0.5);
+    /// assert_eq!(calling.call(), FeedCall::Follow { wait: Duration::ZERO });
+    /// assert!(!calling.is_suspect(due), "sent after that");
+    /// ```
+    #[must_use]
+    pub fn is_suspect(&self, due: MonoTime) -> bool {
+        matches!(self.state.call, FeedCall::Follow { wait } if !wait.is_zero())
+            && self.state.sent <= due
+    }
+
+    /// The instance has given the call up because of [`Self::is_suspect`]; the next one is sent at once, on a new
+    /// connection. The store may not have answered since the call was sent.
+    #[must_use]
+    pub fn given_up(mut self) -> StoreFeed<Waiting> {
+        self.schedule.failing_since.get_or_insert(self.state.sent);
+        StoreFeed { schedule: self.schedule, state: Waiting }
+    }
+
+    /// When the reply was due, at the latest.
+    #[must_use]
+    pub fn due(&self) -> MonoTime {
+        match self.state.call {
+            FeedCall::Follow { wait } => self.state.sent + wait,
+            FeedCall::Read | FeedCall::Check { .. } => self.state.sent,
+        }
+    }
+
     /// The store has answered. Returns whether that ends an outage in which entries may have lapsed: not if
     /// peers show that only this instance did not reach the store.
     #[must_use]
     pub fn answered(mut self, witness: &StoreWitness, now: MonoTime) -> (StoreFeed<Waiting>, bool) {
         self.schedule.needs_reading = false;
         self.schedule.pause = MIN_PAUSE;
+        if let FeedCall::Follow { wait } = self.state.call
+            && !wait.is_zero()
+        {
+            self.schedule.is_changing = now.since(self.state.sent) < wait;
+        }
         let failing_since = self.schedule.failing_since.take();
         let ends_outage = failing_since.is_some_and(|since| {
             now.since(since) >= MIN_OUTAGE && !witness.shows_service_since(since)
@@ -217,7 +291,12 @@
         let is_silent =
             failure == CallFailure::Unanswered || witness.reports_failure_since(self.state.sent);
         let began = if is_silent { self.state.sent } else { now };
+        let is_first = self.schedule.failing_since.is_none();
         self.schedule.failing_since.get_or_insert(began);
+        // The time limit was a pause already, and the polls of all instances end at different times.
+        if is_first && failure == CallFailure::Unanswered {
+            return StoreFeed { schedule: self.schedule, state: Pausing { until: now } };
+        }
         self.pause(now, draw)
     }
 
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -10,9 +10,7 @@
 };
 use kwg_model::MonoTime;
 
-use crate::store_model::{
-    CALL_LIMIT, FOLLOW_LIMIT, PROBED_LIMIT, SeededDraws, StoreModel, target_entry,
-};
+use crate::store_model::{PROBED_LIMIT, SeededDraws, StoreModel, target_entry};
 
 /// Step of the virtual time.
 pub const TICK: Duration = Duration::from_millis(10);
@@ -80,7 +78,7 @@
         Self {
             replica: TableReplica::default(),
             registry: TargetRegistry::default(),
-            feed: Some(FeedState::Waiting(StoreFeed::with_grace())),
+            feed: Some(FeedState::Waiting(StoreFeed::new())),
             is_cut: false,
             pulls: 0,
             copies: 0,
@@ -361,7 +359,7 @@
                 let after = node.replica.mirror().revision();
                 let dead_since = node.is_cut.then_some(now);
                 let call = OpenCall { sent: now, after, dead_since, is_lost: store.is_silent };
-                FeedState::Calling(feed.begin(now), call)
+                FeedState::Calling(feed.begin(now, draw), call)
             }
             FeedState::Pausing(pausing) if now >= pausing.until() => {
                 FeedState::Waiting(pausing.resume())
@@ -369,11 +367,12 @@
             FeedState::Pausing(pausing) => FeedState::Pausing(pausing),
             FeedState::Calling(calling, mut call) => {
                 let age = now.since(call.sent);
-                let (limit, is_due) = match calling.call() {
-                    FeedCall::Read | FeedCall::Check { .. } => (CALL_LIMIT, age >= TRANSIT),
+                let limit = calling.call().reply_limit();
+                let is_due = match calling.call() {
+                    FeedCall::Read | FeedCall::Check { .. } => age >= TRANSIT,
                     FeedCall::Follow { wait } => {
                         let has_changes = !store.changes_after(call.after).is_empty();
-                        (wait + FOLLOW_LIMIT, age >= TRANSIT && (has_changes || age >= wait))
+                        age >= TRANSIT && (has_changes || age >= wait)
                     }
                 };
                 call.is_lost |= store.is_silent && is_due;
--- a/kwg-gate/tests/support/store_model.rs
+++ b/kwg-gate/tests/support/store_model.rs
@@ -6,10 +6,6 @@
 
 use kwg_gate::{ServiceName, StoreRow, TargetEntry, TargetId};
 
-/// Time limit for a reply of the store.
-pub const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time limit for the reply to a long poll, beyond the requested wait.
-pub const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after which the kernel closes a connection whose probes are not answered.
 pub const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
 
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -13,6 +13,7 @@
 use kwg_wire::SharedTable;
 
 use super::control_state::{ControlPipes, ControlState};
+use super::feed_alarm::FeedAlarm;
 use super::instance_directory::InstanceDirectory;
 use super::metrics_server::serve_metrics;
 use super::move_handler::MoveHandler;
@@ -58,10 +59,11 @@
         let state = Rc::new(state);
         let (local, shared) = (LocalExecutor::new(), Arc::new(Executor::new()));
         let mut wakeups = HashMap::new();
-        for table in [SharedTable::Orders, SharedTable::Targets] {
+        let (one, other) = FeedAlarm::pair();
+        for (table, alarm) in [(SharedTable::Orders, one), (SharedTable::Targets, other)] {
             let (waker, woken) = bounded(1);
             wakeups.insert(table, waker);
-            local.spawn(TableFeed::new(&state, table, woken).run()).detach();
+            local.spawn(TableFeed::new(&state, table, woken, alarm).run()).detach();
         }
         local.spawn(MoveHandler::new(&state).run(queued_tasks)).detach();
         match Async::new(self.metrics_listener) {
--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -3,18 +3,13 @@
 use std::time::Duration;
 
 use kwg_adapter::{StoreCodec, StoreError, StoreReading, StoreTable, StoreWrite};
-use kwg_gate::{StoreRow, TableReading};
+use kwg_gate::{FeedCall, StoreRow, TableReading};
 use kwg_wire::SharedTable;
 
 use super::control_state::ControlState;
 use super::instance_directory::InstanceDirectory;
 use super::store_link::StoreLink;
 
-/// Time limit for a reply.
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time limit for the reply to a long poll, beyond the requested wait.
-const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// Makes the calls with which one of the store's tables is followed.
 #[derive(Debug)]
 pub(crate) struct StoreReader {
@@ -30,6 +25,8 @@
     Call(io::Error),
     /// A peer's newer revision ended the long poll.
     BrokenOff,
+    /// The long poll was given up, since the feed of the other table got no reply.
+    GivenUp,
     /// The store's reply is an error or does not decode.
     Store(StoreError),
 }
@@ -45,7 +42,7 @@
         let (mut reading, mut from) = (None::<TableReading>, String::new());
         loop {
             let request = StoreCodec::encode_read(store_table(self.table), &from);
-            let page = self.call(&request, CALL_LIMIT).await?;
+            let page = self.call(&request, FeedCall::Read.reply_limit()).await?;
             let last = page.rows.last().map(StoreRow::successor);
             let read = match reading.take() {
                 Some(mut read) => {
@@ -83,14 +80,14 @@
         wait: Duration,
     ) -> Result<StoreReading, FeedError> {
         let request = StoreCodec::encode_feed(store_table(self.table), after, wait);
-        self.call(&request, wait + FOLLOW_LIMIT).await
+        self.call(&request, FeedCall::Follow { wait }.reply_limit()).await
     }
 
     /// The revision of this instance's row as the store's reads show it, or 0.
     async fn read_own_row(&mut self) -> Result<u64, FeedError> {
         let key = InstanceDirectory::own_key(&self.state.settings);
         let request = StoreCodec::encode_read_row(StoreTable::Instances, &key);
-        let reading = self.call(&request, CALL_LIMIT).await?;
+        let reading = self.call(&request, FeedCall::Read.reply_limit()).await?;
         let row = reading.rows.iter().find(|row| row.key == key);
         Ok(row.map_or(0, |row| row.revision))
     }
@@ -108,7 +105,8 @@
             expected: None,
             unchanged: None,
         };
-        let reply = self.link.call(&StoreCodec::encode_write(&write), CALL_LIMIT).await;
+        let reply =
+            self.link.call(&StoreCodec::encode_write(&write), FeedCall::Read.reply_limit()).await;
         let (status, body) = reply.map_err(FeedError::Call)?;
         if let Err(error) = StoreCodec::decode_write(status, &body) {
             log::info!("event=own-row-unwritten reason=\"{error}\"");
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -14,6 +14,7 @@
 use rand::random;
 
 use super::control_state::{ControlState, table_name};
+use super::feed_alarm::FeedAlarm;
 use super::store_reader::{FeedError, StoreReader};
 
 /// Reads one of the store's tables, follows its changes by long polling, and checks what it knows.
@@ -23,6 +24,7 @@
     table: SharedTable,
     reader: StoreReader,
     wakeups: Receiver<()>,
+    alarm: FeedAlarm,
 }
 
 /// What the store replied.
@@ -36,23 +38,25 @@
 impl TableFeed {
     /// Creates a feed. A message on `wakeups` breaks a long poll off; it is sent when a peer has
     /// changes that the store has not delivered here.
-    pub(crate) fn new(state: &Rc<ControlState>, table: SharedTable, wakeups: Receiver<()>) -> Self {
+    pub(crate) fn new(
+        state: &Rc<ControlState>,
+        table: SharedTable,
+        wakeups: Receiver<()>,
+        alarm: FeedAlarm,
+    ) -> Self {
         let reader = StoreReader::new(state, table);
-        Self { state: Rc::clone(state), table, reader, wakeups }
+        Self { state: Rc::clone(state), table, reader, wakeups, alarm }
     }
 
     /// Reads the table, then follows its changes forever.
     pub(crate) async fn run(mut self) {
-        let mut feed = match self.table {
-            SharedTable::Orders => StoreFeed::new(),
-            SharedTable::Targets => StoreFeed::with_grace(),
-        };
+        let mut feed = StoreFeed::new();
         loop {
             if self.state.is_filled(self.table) {
                 self.wait_store_reader().await;
             }
-            let calling = feed.begin(self.state.clock.now());
-            let round = self.call(calling.call()).await;
+            let calling = feed.begin(self.state.clock.now(), random());
+            let round = self.call(&calling).await;
             let now = self.state.clock.now();
             let pausing = match round {
                 Ok(reply) => {
@@ -67,6 +71,14 @@
                     feed = calling.broken_off(&self.state.witness.borrow());
                     continue;
                 }
+                Err(FeedError::GivenUp) => {
+                    let line = EventLine::new("poll-given-up")
+                        .field("table", table_name(self.table))
+                        .field("age_ms", now.since(calling.sent()).as_millis());
+                    log::info!("{line}");
+                    feed = calling.given_up().plan_checks(self.state.revision(self.table), now);
+                    continue;
+                }
                 Err(FeedError::Store(StoreError::HistoryDropped)) => {
                     log::info!("event=history-gone table={}", table_name(self.table));
                     calling.history_dropped(now, random())
@@ -96,8 +108,8 @@
         }
     }
 
-    async fn call(&mut self, call: FeedCall) -> Result<FeedReply, FeedError> {
-        match call {
+    async fn call(&mut self, calling: &StoreFeed<Calling>) -> Result<FeedReply, FeedError> {
+        match calling.call() {
             FeedCall::Read => {
                 let reading = self.reader.read().await?;
                 Ok(FeedReply::Table(reading, ReadPurpose::Start))
@@ -106,12 +118,16 @@
                 let reading = self.reader.check(floor).await?;
                 Ok(FeedReply::Table(reading, ReadPurpose::Check))
             }
-            FeedCall::Follow { wait } => self.follow(wait).await,
+            FeedCall::Follow { wait } => self.follow(calling, wait).await,
         }
     }
 
     /// Waits for changes after the known revision.
-    async fn follow(&mut self, wait: Duration) -> Result<FeedReply, FeedError> {
+    async fn follow(
+        &mut self,
+        calling: &StoreFeed<Calling>,
+        wait: Duration,
+    ) -> Result<FeedReply, FeedError> {
         let after = self.state.revision(self.table);
         while self.wakeups.try_recv().is_ok() {}
         let wakeups = self.wakeups.clone();
@@ -121,7 +137,11 @@
             }
             Err(FeedError::BrokenOff)
         };
-        let reading = self.reader.follow(after, wait).or(woken).await?;
+        let alarmed = async {
+            while !calling.is_suspect(self.alarm.wait().await) {}
+            Err(FeedError::GivenUp)
+        };
+        let reading = self.reader.follow(after, wait).or(woken).or(alarmed).await?;
         Ok(FeedReply::Changes { after, reading })
     }
 
@@ -163,6 +183,9 @@
     ) -> StoreFeed<Pausing> {
         self.state.record_store_status(self.table, false, reason);
         self.state.metrics.record_store_call("failed");
+        if failure == CallFailure::Unanswered {
+            self.alarm.raise(calling.due().min(now));
+        }
         let pausing = calling.failed(failure, &self.state.witness.borrow(), now, random());
         pausing.plan_checks(self.state.revision(self.table), now)
     }
--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -18,6 +18,7 @@
 
 use super::TableFeed;
 use crate::control::control_state::{ControlPipes, ControlState, TableChanges};
+use crate::control::feed_alarm::FeedAlarm;
 use crate::gateway_metrics::GatewayMetrics;
 
 /// Real time after which the script counts as not played.
@@ -162,8 +163,9 @@
         state.leave();
     }
     let (_waker, woken) = bounded(1);
+    let (alarm, _other) = FeedAlarm::pair();
     let following = async {
-        TableFeed::new(&state, SharedTable::Targets, woken).run().await;
+        TableFeed::new(&state, SharedTable::Targets, woken, alarm).run().await;
         false
     };
     let playing = async {
--- a/kwg-peer/src/tls_identity.rs
+++ b/kwg-peer/src/tls_identity.rs
@@ -14,10 +14,12 @@
 
 /// ALPN protocol name, so that only compatible instances connect to each other.
 const PROTOCOL: &[u8] = b"knapweedglade/1";
-/// How long a link may be silent before it is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Interval of keep-alive packets on an idle link.
-const KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+/// How long a link may be silent before it is closed. A link may go silent for good while new ones work, together
+/// with the connections to the store. A change that a store reader forwards meanwhile is lost, and pulled 0.8 s
+/// after the next digest, which makes 3.2 s after the silence.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Interval of keep-alive packets on an idle link: two within [`IDLE_TIMEOUT`].
+const KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// TLS versions; QUIC allows only 1.3.
 const VERSIONS: &[&SupportedProtocolVersion] = &[&rustls::version::TLS13];
 
