No connection to a target carries two attempts of the same request

Cause: a reply names its request, not the run. A stream that returned to the target that had declined it could go out on the connection that had carried the refusal, and a target that wrote that refusal once more ended the wait for its own run.

Ruled out: telling the runs apart by the reply (the protocol has only the request's id); remembering only the last request of a connection (others may have passed between the two runs).

Changed test: the unit test of TargetExchange builds its link with the new field.

--- a/kwg-gateway/src/traffic/connection_pool.rs
+++ b/kwg-gateway/src/traffic/connection_pool.rs
@@ -4,6 +4,7 @@
 use kwg_gate::TargetKey;
 use kwg_model::MonoTime;
 
+use super::carried_requests::CarriedRequests;
 use crate::socket::ByteSocket;
 
 /// Fraction of a target's idle timeout within which a connection is reused.
@@ -25,55 +26,63 @@
 #[derive(Debug)]
 struct IdleConnection {
     socket: ByteSocket,
+    carried: CarriedRequests,
     since: MonoTime,
     /// Idle time after which the connection is not reused.
     limit: Duration,
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection that is open and within its time limit. Closed or
-    /// expired ones before it are dropped.
+    /// Takes the most recently used connection that is open, within its time limit, and has not carried an
+    /// attempt of the same request. Closed or expired ones before it are dropped.
     ///
     /// For a request that must not be repeated, an open connection that has been idle for longer
     /// than [`FRESH_AGE`] or its time limit ends the search and stays in the pool.
     pub(crate) fn take(
         &mut self,
         target: TargetKey,
+        request_id: &str,
         is_retryable: bool,
         now: MonoTime,
-    ) -> Option<ByteSocket> {
+    ) -> Option<(ByteSocket, CarriedRequests)> {
         let idle = self.idle.get_mut(&target)?;
-        while let Some(connection) = idle.pop() {
+        for index in (0..idle.len()).rev() {
+            let connection = &idle[index];
             let age = now.since(connection.since);
-            if !is_retryable
-                && age > FRESH_AGE.min(connection.limit)
-                && connection.socket.is_quiet()
-            {
-                idle.push(connection);
+            if connection.carried.contains(request_id) && age < connection.limit {
+                continue;
+            }
+            let is_quiet = connection.socket.is_quiet();
+            if !is_retryable && age > FRESH_AGE.min(connection.limit) && is_quiet {
                 return None;
             }
-            if age < connection.limit && connection.socket.is_quiet() {
-                return Some(connection.socket);
+            let connection = idle.remove(index);
+            if age < connection.limit && is_quiet {
+                return Some((connection.socket, connection.carried));
             }
         }
         None
     }
 
-    /// Adds a connection that has carried a complete answer. A full pool closes its oldest one.
+    /// Adds a connection that has carried a complete answer. A full pool closes its oldest one; a connection that
+    /// has carried many requests is closed.
     pub(crate) fn put(
         &mut self,
         target: TargetKey,
-        socket: ByteSocket,
+        (socket, carried): (ByteSocket, CarriedRequests),
         idle_timeout: Option<Duration>,
         now: MonoTime,
     ) {
+        if carried.is_full() {
+            return;
+        }
         let limit =
             idle_timeout.map_or(DEFAULT_IDLE, |timeout| timeout.mul_f64(SAFE_IDLE_FRACTION));
         let idle = self.idle.entry(target).or_default();
         if idle.len() >= MAX_IDLE {
             idle.remove(0);
         }
-        idle.push(IdleConnection { socket, since: now, limit });
+        idle.push(IdleConnection { socket, carried, since: now, limit });
     }
 
     /// The number of idle connections to a target.
@@ -93,3 +102,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/connection_pool.rs"]
+mod tests;
--- a/kwg-gateway/src/traffic/mod.rs
+++ b/kwg-gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod attempt_hand_over;
 mod attempt_report;
 mod attempt_stop;
+mod carried_requests;
 mod connection_pool;
 mod content_hash;
 mod counted_body;
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -123,7 +123,8 @@
         target: TargetKey,
     ) -> Result<TargetLink, AttemptEvidence> {
         let tokens = session.details().tokens.map_or(0, |tokens| tokens.prompt);
-        TargetLink::open(self.state, target, tokens, session.kind().is_retryable()).await
+        let is_retryable = session.kind().is_retryable();
+        TargetLink::open(self.state, target, self.request_id, tokens, is_retryable).await
     }
 
     fn encode(
--- a/kwg-gateway/src/traffic/target_link.rs
+++ b/kwg-gateway/src/traffic/target_link.rs
@@ -5,6 +5,7 @@
 use kwg_model::MonoTime;
 
 use super::attempt_guard::AttemptGuard;
+use super::carried_requests::CarriedRequests;
 use super::traffic_state::TrafficState;
 use crate::socket::ByteSocket;
 
@@ -18,6 +19,8 @@
     pub(crate) target: TargetKey,
     pub(crate) guard: AttemptGuard,
     pub(crate) socket: ByteSocket,
+    /// The requests that the connection carries, this one included.
+    pub(crate) carried: CarriedRequests,
     /// Whether the connection has carried a request before.
     pub(crate) is_reused: bool,
     /// When the slot was taken.
@@ -26,20 +29,22 @@
 
 impl TargetLink {
     /// Takes a slot of the target, and an idle connection that may carry the request, or opens a
-    /// new one.
+    /// new one. None carries two attempts of the same request.
     pub(crate) async fn open(
         state: &Rc<TrafficState>,
         target: TargetKey,
+        request_id: &str,
         prompt_tokens: u64,
         is_retryable: bool,
     ) -> Result<Self, AttemptEvidence> {
         let guard = AttemptGuard::new(state, target, prompt_tokens);
         let since = state.clock.now();
-        let idle_socket = state.pool.borrow_mut().take(target, is_retryable, since);
+        let idle_socket = state.pool.borrow_mut().take(target, request_id, is_retryable, since);
         let idle = state.pool.borrow().count(target);
         state.core.borrow_mut().targets_mut().record_idle_connections(target, idle);
-        if let Some(socket) = idle_socket {
-            return Ok(Self { target, guard, socket, is_reused: true, since });
+        if let Some((socket, mut carried)) = idle_socket {
+            carried.record(request_id);
+            return Ok(Self { target, guard, socket, carried, is_reused: true, since });
         }
         let address = state.core.borrow().targets().entry(target).map(|entry| entry.address);
         let address = address.ok_or(AttemptEvidence::NotSent)?;
@@ -48,15 +53,17 @@
             log::debug!("event=connect-failed address={address} error={error}");
             AttemptEvidence::NotSent
         })?;
-        Ok(Self { target, guard, socket, is_reused: false, since })
+        let mut carried = CarriedRequests::default();
+        carried.record(request_id);
+        Ok(Self { target, guard, socket, carried, is_reused: false, since })
     }
 
     /// Releases the slot and keeps the connection in the pool.
     pub(crate) fn keep(self, state: &TrafficState, idle_timeout: Option<Duration>) {
-        let Self { target, guard, socket, .. } = self;
+        let Self { target, guard, socket, carried, .. } = self;
         drop(guard);
         let mut pool = state.pool.borrow_mut();
-        pool.put(target, socket, idle_timeout, state.clock.now());
+        pool.put(target, (socket, carried), idle_timeout, state.clock.now());
         let idle = pool.count(target);
         state.core.borrow_mut().targets_mut().record_idle_connections(target, idle);
     }
--- a/kwg-gateway/tests/unit/target_exchange.rs
+++ b/kwg-gateway/tests/unit/target_exchange.rs
@@ -12,6 +12,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::socket::ByteSocket;
 use crate::traffic::attempt_guard::AttemptGuard;
+use crate::traffic::carried_requests::CarriedRequests;
 use crate::traffic::traffic_state::TrafficState;
 
 /// Opens a connection and waits until the target has closed it.
@@ -25,7 +26,8 @@
     }
     let target = TargetKey::default();
     let guard = AttemptGuard::new(state, target, 0);
-    TargetLink { target, guard, socket, is_reused: false, since: state.clock.now() }
+    let (carried, since) = (CarriedRequests::default(), state.clock.now());
+    TargetLink { target, guard, socket, carried, is_reused: false, since }
 }
 
 #[test]
