--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -1,8 +1,9 @@
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use kwg_gate::StandingSource;
+use kwg_gate::{SpeedReading, StandingSource};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -25,6 +26,16 @@
     source: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SpeedLabel {
+    target: String,
+    figure: &'static str,
+}
+
+/// Names of the learned figures of a target.
+const SPEED_FIGURES: [&str; 6] =
+    ["step_ms", "step_weight", "read_us", "pause_ms", "capacity", "load"];
+
 /// The metrics of a gateway.
 #[derive(Clone)]
 pub(crate) struct GatewayMetrics {
@@ -37,6 +48,7 @@
     doubtful: Gauge,
     target_ends: Family<NameLabel, Counter>,
     refused_contents: Gauge,
+    speeds: Family<SpeedLabel, Gauge<f64, AtomicU64>>,
     connects: Counter,
     answer_seconds: Histogram,
 }
@@ -52,6 +64,7 @@
         let doubtful = Gauge::default();
         let target_ends = Family::default();
         let refused_contents = Gauge::default();
+        let speeds = Family::default();
         let connects = Counter::default();
         let answer_seconds = Histogram::new(SECONDS_BUCKETS);
         registry.register("attempts", "Attempts at targets, by outcome", attempts.clone());
@@ -67,6 +80,8 @@
         registry.register("target_ends", help, target_ends.clone());
         let help = "Contents, parts of prompts, and groups of them that are refused because targets have ended under them";
         registry.register("refused_contents", help, refused_contents.clone());
+        let help = "What is learned of each target's speed";
+        registry.register("target_speed", help, speeds.clone());
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
         registry.register("answer_seconds", help, answer_seconds.clone());
@@ -81,6 +96,7 @@
             doubtful,
             target_ends,
             refused_contents,
+            speeds,
             connects,
             answer_seconds,
         }
@@ -125,6 +141,29 @@
         self.refused_contents.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets what is learned of a target's speed.
+    pub(crate) fn set_speed(&self, reading: &SpeedReading<'_>) {
+        let values = [
+            reading.step_ms,
+            reading.step_weight,
+            reading.read_ms * 1e3,
+            reading.gap_ms,
+            f64::from(reading.capacity),
+            f64::from(reading.load),
+        ];
+        for (figure, value) in SPEED_FIGURES.into_iter().zip(values) {
+            let target = reading.entry.id.to_string();
+            self.speeds.get_or_create(&SpeedLabel { target, figure }).set(value);
+        }
+    }
+
+    /// Removes a target that is gone.
+    pub(crate) fn remove_speed(&self, target: &str) {
+        for figure in SPEED_FIGURES {
+            self.speeds.remove(&SpeedLabel { target: target.to_owned(), figure });
+        }
+    }
+
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
     }
--- a/kwg-gateway/src/traffic/mod.rs
+++ b/kwg-gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod reply_reader;
 mod request_pipeline;
 mod request_writer;
+mod speed_log;
 mod stop_signal;
 mod suspect_fields;
 mod suspect_log;
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -14,6 +14,7 @@
 
 use super::front_server::FrontServer;
 use super::ready_server::ReadyServer;
+use super::speed_log::SpeedLog;
 use super::traffic_state::TrafficState;
 use super::wait_notifier::WaitNotifier;
 use crate::gateway_metrics::GatewayMetrics;
@@ -164,6 +165,7 @@
 /// moves, claims slots, wakes waiting requests and reports this instance's digest and decisions to
 /// the control thread.
 async fn publish_reports(state: Rc<TrafficState>, run_id: u64, reports: Sender<TrafficReport>) {
+    let mut speeds = SpeedLog::default();
     loop {
         state.clock.sleep(DIGEST_INTERVAL).await;
         let now = state.clock.now();
@@ -185,6 +187,7 @@
         }
         let digest = TrafficReport { digest: core.digest(run_id, now), decisions };
         core.claim_slots(random(), now);
+        speeds.record(core.targets(), &state.metrics, now);
         drop(core);
         wake_waiting(&state);
         if reports.try_send(digest).is_err() {
