feat: knapweedglade explain

Asks a running gateway on its metrics address where a request would go now. The control thread passes the question to the traffic thread, which answers from the state that placement uses, without changing it: the account is charged in a copy.

The terms of the cost have a type of their own (CostTerms), so that what is shown is what is added up. The list of commands in tests/command_line.rs has explain as well.

--- a/knapweedglade/src/arguments.rs
+++ b/knapweedglade/src/arguments.rs
@@ -25,6 +25,11 @@
         self.0.contains(["-h", "--help"])
     }
 
+    /// Takes an option without a value; returns whether it was given.
+    pub(crate) fn has_flag(&mut self, name: &'static str) -> bool {
+        self.0.contains(name)
+    }
+
     /// Takes the value of a required option.
     pub(crate) fn required<T: FromStr>(&mut self, name: &'static str) -> Result<T, CommandError>
     where
--- a/knapweedglade/src/main.rs
+++ b/knapweedglade/src/main.rs
@@ -23,6 +23,7 @@
   check     check settings and tables without starting anything
   tables    show and edit the two tables, and report their status
   timeline  merge the events of all processes in causal order
+  explain   show where a gateway would send a request, and why
   keys      generate the keys of routers and client accounts
 
 Every command takes --help.
@@ -61,6 +62,7 @@
         Some("check") => command::check::run(arguments),
         Some("tables") => command::tables::run(arguments),
         Some("timeline") => command::timeline::run(arguments),
+        Some("explain") => command::explain::run(arguments),
         Some("keys") => command::keys::run(arguments),
         Some(other) => command_error::usage(format!("unknown command '{other}', see --help")),
         None if arguments.has_help_flag() => {
--- a/knapweedglade/tests/command_line.rs
+++ b/knapweedglade/tests/command_line.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn every_command_has_help() {
-    for command in ["router", "check", "tables", "timeline", "keys"] {
+    for command in ["router", "check", "tables", "timeline", "explain", "keys"] {
         let output = run(&[command, "--help"]);
         assert!(output.status.success(), "{command}");
         assert!(String::from_utf8_lossy(&output.stdout).contains("USAGE"), "{command}");
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -1,6 +1,7 @@
 mod admission;
 mod attempt_ends;
 mod decision_clock;
+mod explaining;
 mod joining;
 mod last_resort;
 mod next_run;
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -57,7 +57,8 @@
     RouteRule, RouteTable, ServiceRule, StreamPromise,
 };
 pub use target::{
-    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, SpeedReading,
-    StandingSource, StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, CostTerms, ExplainQuery, ExplainedTarget, Explanation, LONGEST_PAUSE, Placement,
+    PlacementDecision, PlacementQuery, SpeedReading, StandingSource, StandingState, TargetKey,
+    TargetTracker, TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId};
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -102,14 +102,20 @@
         self.keys.get(key).map(|index| &self.accounts[*index])
     }
 
+    /// The route with the longest matching prefix. `host` may end in a port; `path` has no query.
+    #[must_use]
+    pub fn route_of(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
     /// Finds the route with the longest matching prefix and the account of the key. `host` may end
     /// in a port; `path` has no query. A route that requires an account serves every request if the
     /// table has no accounts.
     #[must_use]
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
-        let Some(route) = routes.iter().find(|route| path.starts_with(&route.prefix)) else {
+        let Some(route) = self.route_of(host, path) else {
             return RouteMatch::NoRoute;
         };
         let account = key.and_then(|key| self.account_of(key));
--- a/kwg-gate/src/target/harm_limit.rs
+++ b/kwg-gate/src/target/harm_limit.rs
@@ -46,6 +46,11 @@
         Self { late_streams: reference.map_or(0.0, |(late_streams, _)| *late_streams) + margin }
     }
 
+    /// The limit; none if there is none.
+    pub(crate) fn late_streams(self) -> Option<f64> {
+        Some(self.late_streams).filter(|limit| limit.is_finite())
+    }
+
     /// Whether a request may go to a target where it has this risk.
     pub(crate) fn allows(self, risk: PauseRisk) -> bool {
         risk.late_streams() <= self.late_streams
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -1,7 +1,11 @@
 //! The assumed state of each target, and the choice of the target for a request.
 
+mod cost_terms;
 mod departed_targets;
 mod draw_sequence;
+mod explain_query;
+mod explained_target;
+mod explanation;
 mod harm_limit;
 mod learned_mean;
 mod load_curve;
@@ -17,6 +21,10 @@
 mod target_state;
 mod target_tracker;
 
+pub use cost_terms::CostTerms;
+pub use explain_query::ExplainQuery;
+pub use explained_target::ExplainedTarget;
+pub use explanation::Explanation;
 pub use placement::{Placement, PlacementDecision, PlacementQuery, VersionFilter};
 pub use speed_reading::SpeedReading;
 pub use target_standing::{LONGEST_PAUSE, StandingSource, StandingState, TargetWord};
--- a/kwg-gate/src/target/placement.rs
+++ b/kwg-gate/src/target/placement.rs
@@ -4,7 +4,7 @@
 
 use super::pause_risk::PauseRisk;
 use super::target_state::TargetState;
-use crate::{DomainDistance, DomainMap, TargetKey};
+use crate::{CostTerms, DomainDistance, DomainMap, TargetKey};
 
 /// Time to the first token besides reading the prompt, in milliseconds.
 pub(crate) const FIRST_TOKEN_MS: f64 = 8.0;
@@ -167,39 +167,33 @@
 }
 
 /// The cost of sending a request to a target, in units of the value of one answer (it may exceed
-/// 1), and the expected time of [`work_ms`].
+/// 1), by terms, and the expected time of [`work_ms`].
 pub(crate) fn cost(
     state: &TargetState,
     query: &PlacementQuery<'_>,
     risk: PauseRisk,
     domains: &DomainMap,
     now: MonoTime,
-) -> (f64, f64) {
+) -> (CostTerms, f64) {
     let distance = domains.distance(&state.entry.domain);
     let expected = work_ms(state, query, distance);
     let target_ms = query.target_latency.as_secs_f64() * 1e3;
     let latency_ratio = (expected / target_ms.max(1.0)).min(MAX_LATENCY_RATIO);
     let end = expected + query.output_tokens as f64 * state.ms_per_token();
     let overrun = (end / (query.left.as_secs_f64() * 1e3).max(1.0)).min(MAX_OVERRUN);
-    let overrun_cost = if overrun > 1.0 { OVERRUN_COST * overrun } else { 0.0 };
-    let crossing_cost = match distance {
-        DomainDistance::SameDomain => 0.0,
-        DomainDistance::SameRegion => CROSS_DOMAIN_COST,
-        DomainDistance::OtherRegion => CROSS_REGION_COST,
+    let terms = CostTerms {
+        latency: latency_ratio * latency_ratio,
+        overrun: if overrun > 1.0 { OVERRUN_COST * overrun } else { 0.0 },
+        pause: LATE_COST * risk.late_streams(),
+        crossing: match distance {
+            DomainDistance::SameDomain => 0.0,
+            DomainDistance::SameRegion => CROSS_DOMAIN_COST,
+            DomainDistance::OtherRegion => CROSS_REGION_COST,
+        },
+        connecting: if state.idle_connections == 0 { CONNECT_COST } else { 0.0 },
+        borrowing: if state.has_idle_owned_slot() { 0.0 } else { BORROW_COST },
+        batch: BATCH_COST * f64::from(state.load()) / f64::from(state.entry.slots.max(1)),
+        failure: FAILURE_COST * state.health.failure_share(now),
     };
-    let connecting_cost = if state.idle_connections == 0 { CONNECT_COST } else { 0.0 };
-    let borrowing_cost = if state.has_idle_owned_slot() { 0.0 } else { BORROW_COST };
-    let batch_cost = BATCH_COST * f64::from(state.load()) / f64::from(state.entry.slots.max(1));
-    let failure_cost = FAILURE_COST * state.health.failure_share(now);
-    let pause_cost = LATE_COST * risk.late_streams();
-    let lateness_cost = latency_ratio * latency_ratio + pause_cost + overrun_cost;
-    (
-        lateness_cost
-            + crossing_cost
-            + connecting_cost
-            + borrowing_cost
-            + batch_cost
-            + failure_cost,
-        expected,
-    )
+    (terms, expected)
 }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod explained_targets;
 mod slot_allocation;
 mod speed_tracking;
 mod target_choice;
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -41,28 +41,13 @@
         // If every target is suspected of a fault, the best of them is still better than a refusal.
         let accepting = open().filter(|(_, state)| !any_accepts || accepts(state));
         let load_limit = self.load_limit(query, now);
-        let has_capacity = |(_, state): &(TargetKey, &TargetState)| {
-            let is_local = state.entry.domain == self.domains.own;
-            match (query.on_engine, load_limit) {
-                // A few targets would reach the limit too late if each instance used its own slots only.
-                (true, Some(limit)) => state.load() < limit.min(state.entry.slots),
-                (true, None) => {
-                    state.has_capacity(query.is_contended, is_local)
-                        || (query.is_last_resort && state.has_last_capacity())
-                }
-                (false, limit) => {
-                    limit.is_none_or(|limit| state.load() < limit)
-                        && state.is_served_in_time(query.target_latency)
-                }
-            }
-        };
         let assessed: Vec<_> =
             accepting.map(|(key, state)| (key, state, PauseRisk::assess(state, query))).collect();
         let risks = assessed.iter().map(|(_, state, risk)| (*risk, state.entry.slots));
         let harm_limit = HarmLimit::new(risks, query);
-        let with_capacity = assessed
-            .into_iter()
-            .filter(|(key, state, risk)| harm_limit.allows(*risk) && has_capacity(&(*key, *state)));
+        let with_capacity = assessed.into_iter().filter(|(_, state, risk)| {
+            harm_limit.allows(*risk) && self.has_capacity(state, query, load_limit)
+        });
         match self.cheapest(with_capacity, query, now, draw) {
             Some(placement) => PlacementDecision::Send(placement),
             None if candidates().next().is_none() => PlacementDecision::NoTarget,
@@ -70,6 +55,28 @@
         }
     }
 
+    /// Whether one more request may be sent to a target, as far as its load goes.
+    pub(super) fn has_capacity(
+        &self,
+        state: &TargetState,
+        query: &PlacementQuery<'_>,
+        load_limit: Option<u32>,
+    ) -> bool {
+        let is_local = state.entry.domain == self.domains.own;
+        match (query.on_engine, load_limit) {
+            // A few targets would reach the limit too late if each instance used its own slots only.
+            (true, Some(limit)) => state.load() < limit.min(state.entry.slots),
+            (true, None) => {
+                state.has_capacity(query.is_contended, is_local)
+                    || (query.is_last_resort && state.has_last_capacity())
+            }
+            (false, limit) => {
+                limit.is_none_or(|limit| state.load() < limit)
+                    && state.is_served_in_time(query.target_latency)
+            }
+        }
+    }
+
     /// Shortest expected time until the first event, or until the answer, if a slot were free, over
     /// all targets of the service that are not draining. Their version, health and earlier attempts
     /// are ignored. 1000 s if there is no such target.
@@ -147,7 +154,7 @@
             // The jitter keeps instances that see the same reports from choosing the same target.
             // There is more of it if another instance owns the slot.
             let jitter = if state.has_idle_owned_slot() { OWNED_JITTER } else { BORROWED_JITTER };
-            let cost = cost + jitter * (draw * 7_919.0 * (index as f64 + 1.0)).fract();
+            let cost = cost.total() + jitter * (draw * 7_919.0 * (index as f64 + 1.0)).fract();
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 let placement = Placement {
                     target: key,
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -64,8 +64,9 @@
             local.spawn(TableFeed::new(&state, table, woken).run()).detach();
         }
         local.spawn(MoveHandler::new(&state).run(queued_tasks)).detach();
+        let to_traffic = state.traffic.clone();
         match Async::new(self.metrics_listener) {
-            Ok(listener) => local.spawn(serve_metrics(listener, self.metrics)).detach(),
+            Ok(listener) => local.spawn(serve_metrics(listener, self.metrics, to_traffic)).detach(),
             Err(error) => log::error!("event=listen-failed error=\"{error}\""),
         }
         let (joining, executor) = (Rc::clone(&state), Arc::clone(&shared));
--- a/kwg-gateway/src/control/metrics_server.rs
+++ b/kwg-gateway/src/control/metrics_server.rs
@@ -1,11 +1,14 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use async_channel::{Sender, bounded};
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use kwg_h1::{HeadWriter, RequestHead};
+use kwg_gate::ExplainQuery;
+use kwg_h1::{HeadWriter, HeaderList, RequestHead};
 
 use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_pipes::TrafficInput;
 use crate::socket::ByteSocket;
 
 /// Maximum length of a request head, in bytes.
@@ -13,15 +16,25 @@
 /// Time limit for a request and its reply; also the pause after `accept` failed.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
-/// Serves the metrics over HTTP, one connection at a time.
-pub(crate) async fn serve_metrics(listener: Async<TcpListener>, metrics: GatewayMetrics) {
+/// Types of the replies' contents.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON_TYPE: &str = "application/json";
+/// Pause after an explanation, which bounds what explanations cost the traffic thread.
+const EXPLAIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves the metrics, and explanations of placements, over HTTP, one connection at a time.
+pub(crate) async fn serve_metrics(
+    listener: Async<TcpListener>,
+    metrics: GatewayMetrics,
+    traffic: Sender<TrafficInput>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let timeout = async {
                     Timer::after(CALL_LIMIT).await;
                 };
-                answer(stream, &metrics).or(timeout).await;
+                answer(stream, &metrics, &traffic).or(timeout).await;
             }
             Err(error) => {
                 log::warn!("event=accept-failed error=\"{error}\"");
@@ -31,7 +44,11 @@
     }
 }
 
-async fn answer(stream: Async<TcpStream>, metrics: &GatewayMetrics) {
+async fn answer(
+    stream: Async<TcpStream>,
+    metrics: &GatewayMetrics,
+    traffic: &Sender<TrafficInput>,
+) {
     let mut socket = ByteSocket::accepted(stream);
     let (mut reader, writer) = socket.split();
     let head = loop {
@@ -41,14 +58,48 @@
             _ => return,
         }
     };
-    let (status, body) = match head.target.as_str() {
-        "/metrics" => (200, metrics.render()),
-        _ => (404, String::new()),
+    let (status, kind, body) = match head.target.as_str() {
+        "/metrics" => (200, METRICS_TYPE, metrics.render()),
+        "/explain" => explain(&head.headers, traffic).await,
+        _ => (404, METRICS_TYPE, String::new()),
     };
     let mut reply = HeadWriter::reply(status);
-    reply.field("Content-Type", "application/openmetrics-text; version=1.0.0; charset=utf-8");
+    reply.field("Content-Type", kind);
     reply.field("Connection", "close");
     if let Err((_, error)) = writer.write(&reply.finish_with(body.as_bytes())).await {
         log::debug!("event=metrics-reader-gone error={error}");
     }
 }
+
+/// Answers with the explanation of the request in the header fields, as JSON.
+async fn explain(
+    headers: &HeaderList,
+    traffic: &Sender<TrafficInput>,
+) -> (u16, &'static str, String) {
+    let Some(query) = explain_query(headers) else {
+        return (400, JSON_TYPE, String::new());
+    };
+    let (sender, receiver) = bounded(1);
+    let is_sent = traffic.try_send(TrafficInput::Explain(query, sender)).is_ok();
+    let explanation = match is_sent {
+        true => receiver.recv().await.ok(),
+        false => None,
+    };
+    Timer::after(EXPLAIN_PAUSE).await;
+    match explanation.and_then(|explanation| serde_json::to_string(&explanation).ok()) {
+        Some(text) => (200, JSON_TYPE, text),
+        None => (503, JSON_TYPE, String::new()),
+    }
+}
+
+/// The request in the header fields `X-Explain-*`; none if a required one is missing or a number is unusable.
+fn explain_query(headers: &HeaderList) -> Option<ExplainQuery> {
+    let tokens = |name: &str| headers.get(name).map_or(Some(0), |value| value.parse().ok());
+    Some(ExplainQuery {
+        host: headers.get("X-Explain-Host")?.to_owned(),
+        path: headers.get("X-Explain-Path")?.to_owned(),
+        account: headers.get("X-Explain-Account").map(str::to_owned),
+        prompt_tokens: tokens("X-Explain-Prompt")?,
+        output_tokens: tokens("X-Explain-Output")?,
+    })
+}
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -2,8 +2,8 @@
 
 use async_channel::{Receiver, Sender, bounded, unbounded};
 use kwg_gate::{
-    EndRecord, GateDigest, GateOptions, InstanceMap, MoveDecision, MovePhase, RouteTable,
-    TargetRegistry, VersionOrder,
+    EndRecord, ExplainQuery, Explanation, GateDigest, GateOptions, InstanceMap, MoveDecision,
+    MovePhase, RouteTable, TargetRegistry, VersionOrder,
 };
 use kwg_model::MonoTime;
 
@@ -28,6 +28,8 @@
     Options(GateOptions),
     /// The instances of the fleet.
     Instances(InstanceMap),
+    /// Explain where a request would go, without sending it.
+    Explain(ExplainQuery, Sender<Explanation>),
     /// Report not ready and drain: finish accepted requests and keep no connection alive. Every
     /// request must have its outcome by the given time, since the process exits soon after it.
     Stop(MonoTime),
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -127,6 +127,11 @@
         TrafficInput::Order(order, phase) => core.apply_order(&order, phase, now),
         TrafficInput::Options(options) => core.set_options(options),
         TrafficInput::Instances(instances) => core.set_instances(&instances),
+        TrafficInput::Explain(query, reply) => {
+            if reply.try_send(core.explain(&query, random(), now)).is_err() {
+                log::debug!("event=explanation-unread");
+            }
+        }
         TrafficInput::Stop(end) => {
             state.is_stopping.set(true);
             state.end.set(Some(end));
