--- a/kwg-gate/src/gate_core/home_regions.rs
+++ b/kwg-gate/src/gate_core/home_regions.rs
@@ -27,9 +27,9 @@
         self.targets.lies_within(target, self.regions(details, plan).names())
     }
 
-    /// Whether requests for a service wait for capacity at targets in some regions, at this or another instance. Reports
-    /// do not say for which regions requests wait: where routes or accounts are bound to regions, more free slots in
-    /// these regions than there are waiting requests show that those wait for other ones.
+    /// Whether more requests wait for a service, at this or another instance, than slots are idle at its targets in some
+    /// regions. Fewer ones wait for other regions, or for the next report, and must not keep others from idle slots: one
+    /// waiting request in a large fleet would otherwise close all slots that have other owners.
     pub(super) fn is_contended(
         &self,
         service: &str,
@@ -37,9 +37,7 @@
         now: MonoTime,
     ) -> bool {
         let waiting = self.peers.waiting(service).saturating_add(self.waiting.count(service));
-        let has_regions = self.table.as_ref().is_some_and(|table| table.has_regions());
-        let waits_elsewhere =
-            || has_regions && self.targets.idle_slots_within(service, regions, now) > waiting;
+        let waits_elsewhere = || self.targets.idle_slots_within(service, regions, now) > waiting;
         waiting > 0 && !waits_elsewhere()
     }
 
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -110,6 +110,14 @@
         self.keys.get(key).map(|index| &self.accounts[*index])
     }
 
+    /// The route with the longest matching prefix. `host` may end in a port; `path` has no query.
+    #[must_use]
+    pub fn route_of(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
     /// Finds the route with the longest matching prefix and the account of the key. `host` may end
     /// in a port; `path` has no query. A route that requires an account serves every request if the
     /// table has no accounts.
@@ -152,9 +160,4 @@
         let none = RegionBound::default();
         route.map_or(&none, |route| &route.regions).and(of_account.unwrap_or(&none))
     }
-
-    fn route_of(&self, host: &str, path: &str) -> Option<&RouteRule> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        self.hosts.get(&name)?.iter().find(|route| path.starts_with(&route.prefix))
-    }
 }
--- a/kwg-gate/src/target/pause_risk.rs
+++ b/kwg-gate/src/target/pause_risk.rs
@@ -9,6 +9,12 @@
 /// prompts.
 const EXPOSED_EVENTS: f64 = 16.0;
 
+/// Part of the predicted late neighbours that counts: an engine spreads the reading of a prompt over several events, and a
+/// full count sends long prompts to slow engines, where they are late themselves.
+const NEIGHBOUR_WEIGHT: f64 = 0.25;
+/// The most that late neighbours count: as much as the request's own answer.
+const MAX_NEIGHBOURS: f64 = 1.0;
+
 /// Streams that are expected to be late by a pause if a request is sent to a target.
 ///
 /// An engine reads prompts between the steps of the running streams, so a prompt delays the next event of each of
@@ -47,8 +53,8 @@
         }
     }
 
-    /// Number of streams that are expected to be late.
+    /// Number of streams that are expected to be late, as far as they count.
     pub(crate) fn late_streams(self) -> f64 {
-        self.neighbours + self.own
+        (NEIGHBOUR_WEIGHT * self.neighbours).min(MAX_NEIGHBOURS) + self.own
     }
 }
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod explained_targets;
 mod home_regions;
 mod slot_allocation;
 mod speed_tracking;
--- a/kwg-gate/tests/support/speed_fleet.rs
+++ b/kwg-gate/tests/support/speed_fleet.rs
@@ -215,6 +215,7 @@
                 tried: &tried,
                 version: VersionFilter::Any,
                 is_last_resort: false,
+                regions: None,
             };
             let tracker = &self.nodes[node];
             let expected = tracker.best_expected(&query, now).as_millis() as u64;
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -14,6 +14,7 @@
 
 use super::front_server::FrontServer;
 use super::ready_server::ReadyServer;
+use super::speed_log::SpeedLog;
 use super::traffic_state::TrafficState;
 use super::wait_notifier::WaitNotifier;
 use crate::gateway_metrics::GatewayMetrics;
@@ -136,6 +137,11 @@
         TrafficInput::Order(order, phase) => core.apply_order(&order, phase, now),
         TrafficInput::Options(options) => core.set_options(options),
         TrafficInput::Instances(instances) => core.set_instances(&instances),
+        TrafficInput::Explain(query, reply) => {
+            if reply.try_send(core.explain(&query, random(), now)).is_err() {
+                log::debug!("event=explanation-unread");
+            }
+        }
         TrafficInput::Stop(end) => {
             state.is_stopping.set(true);
             state.end.set(Some(end));
@@ -184,6 +190,7 @@
 /// moves, claims slots, wakes waiting requests and reports this instance's digest and decisions to
 /// the control thread.
 async fn publish_reports(state: Rc<TrafficState>, run_id: u64, reports: Sender<TrafficReport>) {
+    let mut speeds = SpeedLog::default();
     loop {
         state.clock.sleep(DIGEST_INTERVAL).await;
         let now = state.clock.now();
@@ -205,6 +212,7 @@
         }
         let digest = TrafficReport { digest: core.digest(run_id, now), decisions };
         core.claim_slots(random(), now);
+        speeds.record(core.targets(), &state.metrics, now);
         drop(core);
         wake_waiting(&state);
         if reports.try_send(digest).is_err() {
