Names from outside are checked when they are decoded, and no field ends a head

Cause: any key of an entry was taken as a target's name, and HeadWriter wrote any text. A name that ends in a line break ended the head of requests (X-Knapweedglade-Expect-Instance), and the target ran them without body and account.

Change: is_usable_name (1 to 200 bytes, no control characters, quotation marks, backslashes or spaces at its ends). Entries and orders with another name are unreadable, as before with other odd values: logged once for each change, and no target is hidden, since the key differs. Routes, services and accounts with such names are left out of a configuration, and the rest is in force (table-part-unusable). Names in digests, sums and views are checked by FrameCodec in both directions, instance rows when they are read. HeadWriter::finish returns an error for a name that is no token, a value that is no header text, or an unusable request line; a request to a target is then not sent, a reply to a caller ends its connection.

Ruled out: escaping or cutting names (two targets could then have one name).

--- a/knapweedglade/tests/odd_entries.rs
+++ b/knapweedglade/tests/odd_entries.rs
@@ -30,6 +30,10 @@
         fleet.store.put("servers", &format!("i-odd-{number}"), Some(value.as_bytes()));
     }
     fleet.store.put("servers", "i-bytes", Some(&[0xff, 0x00, 0x7b]));
+    // Copies of the target's own entry under keys that are no names.
+    for key in ["i-0\r\n", "i-0\n", " i-0", "i-0\r\n\r\nGET /open/x HTTP/1.1\r\nHost: x"] {
+        fleet.store.put("servers", key, Some(good.as_bytes()));
+    }
     let next = kwg_standin::RunnerStandin::start().expect("a port is free");
     let entry = SampleFleet::entry(&next, "ready").to_string();
     fleet.store.put("servers", "i-next", Some(entry.as_bytes()));
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -60,4 +60,4 @@
     AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
     StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
 };
-pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId};
+pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId, is_usable_name};
--- a/kwg-gateway/src/control/instance_directory.rs
+++ b/kwg-gateway/src/control/instance_directory.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kwg_adapter::{StoreCodec, StoreError, StoreTable, StoreWrite, WriteReply};
-use kwg_gate::StoreRow;
+use kwg_gate::{StoreRow, is_usable_name};
 use kwg_peer::FleetAuthority;
 use kwg_settings::GatewaySettings;
 
@@ -172,6 +172,9 @@
         let name = row.key.strip_prefix(INSTANCE_PREFIX)?;
         let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
         let (address, domain) = text.split_once(' ')?;
+        if !is_usable_name(name) || !is_usable_name(domain) {
+            return None;
+        }
         let (name, domain) = (name.to_owned(), domain.to_owned());
         Some(FleetPeer { name, address: address.parse().ok()?, domain })
     };
--- a/kwg-gateway/src/control/metrics_server.rs
+++ b/kwg-gateway/src/control/metrics_server.rs
@@ -48,7 +48,8 @@
     let mut reply = HeadWriter::reply(status);
     reply.field("Content-Type", "application/openmetrics-text; version=1.0.0; charset=utf-8");
     reply.field("Connection", "close");
-    if let Err((_, error)) = writer.write(&reply.finish_with(body.as_bytes())).await {
+    let reply = reply.finish_with(body.as_bytes()).expect("the fields are constant");
+    if let Err((_, error)) = writer.write(&reply).await {
         log::debug!("event=metrics-reader-gone error={error}");
     }
 }
--- a/kwg-gateway/src/control/order_rows.rs
+++ b/kwg-gateway/src/control/order_rows.rs
@@ -50,6 +50,11 @@
         match ConfigDecoder::decode(value) {
             Ok(table) if table.version() >= self.table_version.get() => {
                 self.table_version.set(table.version());
+                for error in ConfigDecoder::unusable_parts(value) {
+                    let line =
+                        EventLine::new("table-part-unusable").field("revision", row.revision);
+                    log::error!("{}", line.field("error", error));
+                }
                 self.send_to_traffic(TrafficInput::Table(Arc::new(table), row.revision));
             }
             Ok(table) => {
--- a/kwg-gateway/src/traffic/answer_relay.rs
+++ b/kwg-gateway/src/traffic/answer_relay.rs
@@ -2,7 +2,8 @@
 
 use kwg_adapter::CallerCodec;
 use kwg_gate::FinalOutcome;
-use kwg_h1::{BodyFraming, HeadWriter, ReplyHead};
+use kwg_h1::{BodyFraming, HeadError, HeadWriter, ReplyHead};
+use kwg_telemetry::EventLine;
 
 use super::event_splitter::{EventSplitter, EventTooLong};
 use crate::socket::SocketWriter;
@@ -89,7 +90,8 @@
         body: &[u8],
     ) -> Result<(), CallerDisconnected> {
         let keeps_alive = self.begin();
-        let mut bytes = CallerCodec::encode_answer_head(head, Some(body.len()), keeps_alive);
+        let mut bytes =
+            encoded(CallerCodec::encode_answer_head(head, Some(body.len()), keeps_alive))?;
         bytes.extend_from_slice(body);
         self.write(&bytes).await
     }
@@ -100,7 +102,7 @@
             BodyFraming::Length(length) => usize::try_from(length).ok(),
             BodyFraming::Chunked | BodyFraming::UntilClose => None,
         };
-        let bytes = CallerCodec::encode_answer_head(head, length, self.begin());
+        let bytes = encoded(CallerCodec::encode_answer_head(head, length, self.begin()))?;
         self.write(&bytes).await
     }
 
@@ -119,7 +121,7 @@
         }
         let mut out = Vec::new();
         if !self.has_begun {
-            out = CallerCodec::encode_answer_head(head, None, self.begin());
+            out = encoded(CallerCodec::encode_answer_head(head, None, self.begin()))?;
         }
         HeadWriter::write_chunk(&events, &mut out);
         self.write(&out).await?;
@@ -133,7 +135,7 @@
     ) -> Result<(), CallerDisconnected> {
         let mut out = Vec::new();
         if !self.has_begun {
-            out = CallerCodec::encode_answer_head(head, None, self.begin());
+            out = encoded(CallerCodec::encode_answer_head(head, None, self.begin()))?;
         }
         let rest = self.splitter.take_rest();
         HeadWriter::write_chunk(&rest, &mut out);
@@ -156,7 +158,7 @@
         if self.has_begun {
             return Err(CallerDisconnected);
         }
-        let bytes = CallerCodec::encode_outcome(outcome, request_id, self.begin());
+        let bytes = encoded(CallerCodec::encode_outcome(outcome, request_id, self.begin()))?;
         self.write(&bytes).await
     }
 
@@ -175,3 +177,11 @@
         })
     }
 }
+
+/// The encoded reply. One that cannot stand in a head is not sent, and the caller's connection is closed.
+fn encoded(reply: Result<Vec<u8>, HeadError>) -> Result<Vec<u8>, CallerDisconnected> {
+    reply.map_err(|error| {
+        log::warn!("{}", EventLine::new("reply-unwritable").field("error", error));
+        CallerDisconnected
+    })
+}
--- a/kwg-gateway/src/traffic/ready_server.rs
+++ b/kwg-gateway/src/traffic/ready_server.rs
@@ -61,7 +61,7 @@
             true => 503,
             false => 404,
         };
-        let reply = HeadWriter::reply(status).finish_with(b"");
+        let reply = HeadWriter::reply(status).finish_with(b"").expect("the fields are constant");
         if writer.write(&reply).await.is_err() || !head.keeps_alive {
             return;
         }
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -144,7 +144,11 @@
             resume_after: relay.last_event(),
             hides_key: self.hides_key,
         };
-        Ok(TargetCodec::encode(self.head, self.body, &call))
+        TargetCodec::encode(self.head, self.body, &call).map_err(|error| {
+            let line = EventLine::new("request-unwritable").field("id", self.request_id);
+            log::warn!("{}", line.field("target", &entry.id).field("error", error));
+            AttemptEvidence::NotSent
+        })
     }
 
     /// Reads the reply to its end and relays it, or until another target is reserved.
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -1,6 +1,6 @@
 //! Ambiguous heads are rejected, and truncated bodies are not mistaken for complete ones.
 
-use kwg_h1::{BodyDecoder, BodyFraming, HeadError, ReplyHead, RequestHead};
+use kwg_h1::{BodyDecoder, BodyFraming, HeadError, HeadWriter, ReplyHead, RequestHead};
 use quickcheck::quickcheck;
 
 fn parse(head: &str) -> Result<Option<(RequestHead, usize)>, HeadError> {
@@ -90,3 +90,28 @@
         decoder.is_done() && body == chunks.concat()
     }
 }
+
+/// Guards against a name with a line break that ends a head, so that the rest is read as another request.
+#[test]
+fn no_field_ends_a_head_or_begins_another() {
+    for value in ["i-1\r\n", "a\nb", "a\rb", "a\0b", "a\x7fb", "i-1\r\n\r\nPOST / HTTP/1.1"] {
+        let mut writer = HeadWriter::request("GET", "/a");
+        writer.field("X-Name", value);
+        writer.field("X-Other", "sound");
+        assert_eq!(writer.finish(), Err(HeadError::Malformed), "{value:?}");
+        let mut writer = HeadWriter::reply(200);
+        writer.field("X-Name", value);
+        assert_eq!(writer.finish_with(b"body"), Err(HeadError::Malformed), "{value:?}");
+    }
+    for name in ["", "X Name", "X:Name", "X-Name\r\n", "X-N\u{e4}me"] {
+        let mut writer = HeadWriter::reply(200);
+        writer.field(name, "a");
+        assert!(writer.finish().is_err(), "{name:?}");
+    }
+    for (method, target) in [("GET /b", "/a"), ("GET", "/a b"), ("GET", "/a\r\n"), ("GET", "")] {
+        assert!(HeadWriter::request(method, target).finish().is_err(), "{method:?} {target:?}");
+    }
+    let mut writer = HeadWriter::reply(200);
+    writer.field("X-Name", "a b\t\u{e4}");
+    assert!(writer.finish().is_ok(), "header text");
+}
--- a/kwg-standin/src/wire/fatal_end.rs
+++ b/kwg-standin/src/wire/fatal_end.rs
@@ -27,15 +27,16 @@
         let mut reply = reply_to(id, RunnerMode::Answer);
         match self {
             Self::NoAnswer | Self::Silent => Ok(()),
-            Self::InHead => stream.write_all(&reply.finish_with(b"x")[..20]),
+            Self::InHead => stream.write_all(&reply.finish_with(b"x").expect("header text")[..20]),
             Self::InBody => {
                 reply.field("Content-Length", 100);
-                stream.write_all(&[reply.finish(), b"a part".to_vec()].concat())
+                stream
+                    .write_all(&[reply.finish().expect("header text"), b"a part".to_vec()].concat())
             }
             Self::MidStream => {
                 reply.field("Content-Type", "text/event-stream");
                 reply.field("Transfer-Encoding", "chunked");
-                let mut bytes = reply.finish();
+                let mut bytes = reply.finish().expect("header text");
                 let text = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda";
                 HeadWriter::write_chunk(text.as_bytes(), &mut bytes);
                 stream.write_all(&bytes)
--- a/kwg-standin/src/wire/runner_reply.rs
+++ b/kwg-standin/src/wire/runner_reply.rs
@@ -38,12 +38,12 @@
     reply.field("Content-Type", "text/event-stream");
     if let RunnerMode::DisconnectUnframed(pause_ms) = mode {
         let text = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda";
-        reader.stream.write_all(&[reply.finish(), text.into()].concat())?;
+        reader.stream.write_all(&[reply.finish().expect("header text"), text.into()].concat())?;
         std::thread::sleep(Duration::from_millis(pause_ms));
         return Ok(false);
     }
     reply.field("Transfer-Encoding", "chunked");
-    reader.stream.write_all(&reply.finish())?;
+    reader.stream.write_all(&reply.finish().expect("header text"))?;
     for event in last + 1..=STREAM_EVENTS {
         let mut chunk = Vec::new();
         let text = match mode {
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -244,7 +244,7 @@
         if mode == RunnerMode::EarlyHead {
             let mut reply = reply_to(&id, mode);
             reply.field("Transfer-Encoding", "chunked");
-            reader.stream.write_all(&reply.finish())?;
+            reader.stream.write_all(&reply.finish().expect("header text"))?;
         }
         let Some(body) = reader.body(&head)? else { return Ok(()) };
         let length = body.len();
@@ -286,7 +286,7 @@
             RunnerMode::HeadOnly | RunnerMode::FailHeadOnly => {
                 let mut reply = reply_to(&id, mode);
                 reply.field("Transfer-Encoding", "chunked");
-                let mut bytes = reply.finish();
+                let mut bytes = reply.finish().expect("header text");
                 if mode == RunnerMode::HeadOnly && head.target.starts_with("/stream/") {
                     HeadWriter::write_chunk(b": no event\n\n", &mut bytes);
                 }
@@ -297,13 +297,15 @@
             }
             RunnerMode::AnonymousCopy => {
                 let body = format!("answer to {id}");
-                let reply = reply_to(&id, mode).finish_with(body.as_bytes());
+                let reply = reply_to(&id, mode).finish_with(body.as_bytes()).expect("header text");
                 reader.stream.write_all(&reply)?;
                 // The copy arrives when the next request is on its way.
                 if reader.next()?.is_some() {
                     let mut copy = HeadWriter::reply(200);
                     copy.field("X-Knapweedglade-Server-Seal", "seal");
-                    reader.stream.write_all(&copy.finish_with(body.as_bytes()))?;
+                    reader
+                        .stream
+                        .write_all(&copy.finish_with(body.as_bytes()).expect("header text"))?;
                 }
                 return Ok(());
             }
@@ -311,7 +313,7 @@
                 let mut refusal = HeadWriter::reply(503);
                 refusal.field("X-Knapweedglade-Request-Id", &id);
                 refusal.field("X-Knapweedglade-Not-Executed", 1);
-                let refusal = refusal.finish_with(b"");
+                let refusal = refusal.finish_with(b"").expect("header text");
                 reader.stream.write_all(&refusal)?;
                 // The first request has not run.
                 lock(shared).received.pop();
@@ -321,14 +323,17 @@
                     lock(shared).received.push(ReceivedRequest { head, body });
                     reader.stream.write_all(&refusal)?;
                     let body = format!("answer to {next}");
-                    let answer = reply_to(&next, mode).finish_with(body.as_bytes());
+                    let answer =
+                        reply_to(&next, mode).finish_with(body.as_bytes()).expect("header text");
                     reader.stream.write_all(&answer)?;
                 }
                 return Ok(());
             }
             RunnerMode::FailResumed if head.headers.get("Last-Event-Id").is_some() => {
                 let reply = reply_to(&id, RunnerMode::Fail);
-                reader.stream.write_all(&reply.finish_with(b"id: 9\ndata: internal error\n\n"))?;
+                reader.stream.write_all(
+                    &reply.finish_with(b"id: 9\ndata: internal error\n\n").expect("header text"),
+                )?;
             }
             RunnerMode::Decline
             | RunnerMode::DeclineLate(_)
@@ -346,10 +351,10 @@
                     }
                     _ => {}
                 }
-                reader.stream.write_all(&reply.finish_with(b""))?;
+                reader.stream.write_all(&reply.finish_with(b"").expect("header text"))?;
             }
             RunnerMode::CutHead(length) => {
-                let head = reply_to(&id, mode).finish_with(b"x");
+                let head = reply_to(&id, mode).finish_with(b"x").expect("header text");
                 reader.stream.write_all(&head[..length.min(head.len() - 2)])?;
                 return reader.stream.shutdown(Shutdown::Write);
             }
@@ -363,7 +368,9 @@
                 reply.field("Content-Type", "text/event-stream");
                 reply.field("Connection", "close");
                 let events = WHOLE_EVENTS.as_bytes();
-                reader.stream.write_all(&[&reply.finish(), events].concat())?;
+                reader
+                    .stream
+                    .write_all(&[&reply.finish().expect("header text"), events].concat())?;
                 // What has arrived is read before the reset.
                 std::thread::sleep(Duration::from_millis(100));
                 return reset(&reader.stream);
@@ -387,14 +394,18 @@
                 let mut reply = reply_to(&id, mode);
                 if mode == RunnerMode::ShortBody {
                     reply.field("Content-Length", body.len() + 5);
-                    let mut bytes = reply.finish();
+                    let mut bytes = reply.finish().expect("header text");
                     bytes.extend_from_slice(body.as_bytes());
                     reader.stream.write_all(&bytes)?;
                     return reader.stream.shutdown(Shutdown::Write);
                 }
-                reader.stream.write_all(&reply.finish_with(body.as_bytes()))?;
+                reader
+                    .stream
+                    .write_all(&reply.finish_with(body.as_bytes()).expect("header text"))?;
                 if mode == RunnerMode::AnswerTwice {
-                    let extra = reply_to(&id, mode).finish_with(b"nobody asked for this");
+                    let extra = reply_to(&id, mode)
+                        .finish_with(b"nobody asked for this")
+                        .expect("header text");
                     reader.stream.write_all(&extra)?;
                 }
             }
--- a/kwg-standin/src/wire/store_standin.rs
+++ b/kwg-standin/src/wire/store_standin.rs
@@ -123,7 +123,9 @@
             if mode == StoreMode::ResponsesDropped {
                 return Ok(());
             }
-            let reply = HeadWriter::reply(status).finish_with(reply.to_string().as_bytes());
+            let reply = HeadWriter::reply(status)
+                .finish_with(reply.to_string().as_bytes())
+                .expect("header text");
             reader.stream.write_all(&reply)?;
         }
         Ok(())
--- a/kwg-standin/src/wire/stream_framing.rs
+++ b/kwg-standin/src/wire/stream_framing.rs
@@ -21,10 +21,10 @@
         body: &str,
     ) -> io::Result<()> {
         let bytes = match self {
-            Self::Length => reply.finish_with(body.as_bytes()),
+            Self::Length => reply.finish_with(body.as_bytes()).expect("header text"),
             Self::Chunked => {
                 reply.field("Transfer-Encoding", "chunked");
-                let mut bytes = reply.finish();
+                let mut bytes = reply.finish().expect("header text");
                 HeadWriter::write_chunk(body.as_bytes(), &mut bytes);
                 bytes.extend_from_slice(HeadWriter::LAST_CHUNK);
                 bytes
--- a/kwg-wire/src/frame_codec.rs
+++ b/kwg-wire/src/frame_codec.rs
@@ -1,6 +1,6 @@
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::PeerFrame;
+use crate::{PeerBody, PeerFrame};
 
 /// Size of the length prefix, in bytes.
 pub(crate) const PREFIX_BYTES: usize = 4;
@@ -27,6 +27,9 @@
         /// The codec's error.
         source: postcard::Error,
     },
+    /// A name in the frame has characters that no name may have.
+    #[snafu(display("a frame with an unusable name"))]
+    UnusableName,
     /// Bytes remain after the frame.
     #[snafu(display("{count} trailing bytes after a frame"))]
     TrailingBytes {
@@ -43,7 +46,8 @@
     ///
     /// # Errors
     /// [`FrameError::TooLong`] for a frame longer than [`Self::MAX_BYTES`],
-    /// [`FrameError::Malformed`] if it does not encode.
+    /// [`FrameError::Malformed`] if it does not encode, [`FrameError::UnusableName`] for a name that the receiver
+    /// would not accept.
     ///
     /// ```
     /// use kwg_model::InstanceName;
@@ -59,6 +63,7 @@
     /// # Ok::<(), kwg_wire::FrameError>(())
     /// ```
     pub fn encode(frame: &PeerFrame) -> Result<Vec<u8>, FrameError> {
+        ensure!(has_usable_names(frame), UnusableNameSnafu);
         let prefix = vec![0; PREFIX_BYTES];
         let mut bytes = postcard::to_extend(frame, prefix).context(MalformedSnafu)?;
         let length = bytes.len() - PREFIX_BYTES;
@@ -75,6 +80,14 @@
     pub fn decode(bytes: &[u8]) -> Result<PeerFrame, FrameError> {
         let (frame, rest) = postcard::take_from_bytes(bytes).context(MalformedSnafu)?;
         ensure!(rest.is_empty(), TrailingBytesSnafu { count: rest.len() });
+        ensure!(has_usable_names(&frame), UnusableNameSnafu);
         Ok(frame)
     }
 }
+
+fn has_usable_names(frame: &PeerFrame) -> bool {
+    match &frame.body {
+        PeerBody::Gate(message) => message.has_usable_names(),
+        _ => true,
+    }
+}
--- a/kwg-wire/src/gate_message.rs
+++ b/kwg-wire/src/gate_message.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use kwg_gate::{DigestDelta, DomainView};
+use kwg_gate::{DigestDelta, DomainView, is_usable_name};
 use serde::{Deserialize, Serialize};
 
 /// Message from one gateway to another.
@@ -65,6 +65,38 @@
     },
 }
 
+impl GateMessage {
+    /// Whether the names of domains, instances and versions in the message can be used as such. Those of services,
+    /// accounts and targets are checked where they are decoded, and the rows of tables by their own decoders.
+    pub(crate) fn has_usable_names(&self) -> bool {
+        match self {
+            Self::Digest { domain, delta, .. } => {
+                is_usable_name(domain) && has_usable_versions(delta)
+            }
+            Self::DomainSum { domain, relay, delta, .. } => {
+                is_usable_name(domain) && is_usable_name(relay) && has_usable_versions(delta)
+            }
+            Self::View(view) => {
+                let is_sound = |(domain, delta): &(String, DigestDelta)| {
+                    is_usable_name(domain) && has_usable_versions(delta)
+                };
+                let listing = view.listing.iter();
+                let mut names = listing.flat_map(|listing| {
+                    let members = listing.members.iter().map(|(name, ..)| name);
+                    members.chain(&listing.readers)
+                });
+                view.sums.iter().all(is_sound) && names.all(|name| is_usable_name(name))
+            }
+            Self::Resync | Self::Pull { .. } | Self::Changes { .. } | Self::Copy { .. } => true,
+        }
+    }
+}
+
+fn has_usable_versions(delta: &DigestDelta) -> bool {
+    let mut past = delta.changes.moves.iter().flat_map(|report| &report.past);
+    past.all(|past| is_usable_name(&past.version))
+}
+
 /// Table of the store that gateways replicate to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum SharedTable {
--- a/kwg-wire/tests/codecs.rs
+++ b/kwg-wire/tests/codecs.rs
@@ -2,10 +2,13 @@
 //! bytes give an error or nothing, but never a panic.
 
 use kwg_flow::{AnswerEvent, ControlMessage, TrafficMessage};
+use kwg_gate::{AccountLabel, AccountUsage, DigestDelta, GateDigest};
 use kwg_model::{
     AccountName, ByteChunk, ClaimId, DispatchTicket, HomeAddress, InstanceName, MonoTime, TicketKey,
 };
-use kwg_wire::{FrameCodec, FrameReader, PeerBody, PeerFrame, SseEvent, SseKind, SseParser};
+use kwg_wire::{
+    FrameCodec, FrameReader, GateMessage, PeerBody, PeerFrame, SseEvent, SseKind, SseParser,
+};
 use quickcheck::quickcheck;
 
 fn home(shard: u16) -> HomeAddress {
@@ -101,3 +104,27 @@
     reader.push(&u32::MAX.to_le_bytes());
     assert!(reader.next_frame().is_err());
 }
+
+/// A frame with a digest from this domain that names this account.
+fn digest(domain: &str, account: &str) -> PeerFrame {
+    let accounts = vec![AccountUsage { label: AccountLabel::new(account), used: 1 }];
+    let changes = GateDigest { accounts, ..GateDigest::default() };
+    let delta = Box::new(DigestDelta { changes, ..DigestDelta::default() });
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let message = GateMessage::Digest { address, domain: domain.to_owned(), delta };
+    PeerFrame { stamp: 1, body: PeerBody::Gate(message) }
+}
+
+/// Guards against a peer's name that ends a head or a log line here.
+#[test]
+fn names_that_cannot_be_used_are_neither_sent_nor_received() {
+    let sound = FrameCodec::encode(&digest("domain", "account")).expect("sound");
+    assert!(FrameCodec::decode(&sound[4..]).is_ok());
+    assert!(FrameCodec::encode(&digest("domai\n", "account")).is_err());
+    for name in ["domain", "account"] {
+        let mut bytes = sound[4..].to_vec();
+        let at = bytes.windows(name.len()).position(|part| part == name.as_bytes()).expect("there");
+        bytes[at + name.len() - 1] = b'\n';
+        assert!(FrameCodec::decode(&bytes).is_err(), "{name}");
+    }
+}
--- a/review/lab/src/repeated.rs
+++ b/review/lab/src/repeated.rs
@@ -84,7 +84,7 @@
                 .get("X-Knapweedglade-Expect-Instance")
                 .is_some_and(|name| name != self.id)
             {
-                connection.send(&HeadWriter::reply(421).finish_with(b""))?;
+                connection.send(&HeadWriter::reply(421).finish_with(b"").expect("header text"))?;
                 continue;
             }
             let is_victim = id.starts_with("victim");
@@ -95,7 +95,7 @@
                 let mut reply = HeadWriter::reply(503);
                 reply.field("X-Knapweedglade-Request-Id", &id);
                 reply.field("X-Knapweedglade-Not-Executed", 1);
-                let reply = reply.finish_with(b"");
+                let reply = reply.finish_with(b"").expect("header text");
                 connection.send(&reply)?;
                 refusal = Some(reply);
                 continue;
@@ -141,7 +141,7 @@
         reply.field("X-Knapweedglade-Server-Seal", self.id);
         reply.field("Content-Type", "text/event-stream");
         reply.field("Transfer-Encoding", "chunked");
-        connection.send(&reply.finish())?;
+        connection.send(&reply.finish().expect("header text"))?;
         for event in last + 1..=EVENTS {
             if breaks && event == 3 {
                 return Ok(false);
--- a/review/lab/src/runner.rs
+++ b/review/lab/src/runner.rs
@@ -73,7 +73,7 @@
             if expected.is_some_and(|expected| expected != self.id) {
                 let mut reply = HeadWriter::reply(421);
                 reply.field("X-Knapweedglade-Instance-Id", &self.id);
-                connection.send(&reply.finish_with(b""))?;
+                connection.send(&reply.finish_with(b"").expect("header text"))?;
                 continue;
             }
             let tenant = head.headers.get("X-Knapweedglade-Tenant").unwrap_or("").to_owned();
@@ -92,5 +92,5 @@
     let mut reply = HeadWriter::reply(200);
     reply.field("X-Knapweedglade-Request-Id", id);
     reply.field("X-Knapweedglade-Server-Seal", "seal");
-    reply.finish_with(format!("answer to {id}").as_bytes())
+    reply.finish_with(format!("answer to {id}").as_bytes()).expect("header text")
 }
--- a/review/lab/src/store.rs
+++ b/review/lab/src/store.rs
@@ -84,7 +84,9 @@
         while let Some((head, body)) = connection.next_request()? {
             let (status, reply) = self.handle(&head.target, &body);
             if number > self.state().silent_up_to {
-                let reply = HeadWriter::reply(status).finish_with(reply.to_string().as_bytes());
+                let reply = HeadWriter::reply(status)
+                    .finish_with(reply.to_string().as_bytes())
+                    .expect("header text");
                 connection.send(&reply)?;
             }
         }
