Evacuation of a failure domain: a row evacuate/DOMAIN keeps new requests from its targets

Who decides: the copy of the orders table (TableMirror). After each change of rows evacuate/..., the control thread tells the traffic thread the set of domains (TrafficInput::Evacuated), before a configuration of the same reading. A target of such a domain counts as leaving (TargetStanding::state, StandingSource::Evacuation), which placement, hand-over, the predictions, the count of free slots and the last check before sending ask already. Without such rows nothing changes.

The value of the row does not matter. A version that gets no answers, since all its targets are evacuated, is still rolled back for lack of proof at the end of its time: the order's time limit binds.

Ruled out: removing the targets from the registry (their requests would count as cut, their learned figures would be lost, and moves would take the version for absent).

Logs evacuation-began, evacuation-ended (domain, revision, source), evacuation-unreadable; metric evacuated_domains.

--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -1,6 +1,7 @@
 mod admission;
 mod attempt_ends;
 mod decision_clock;
+mod evacuation;
 mod joining;
 mod next_run;
 mod planned_stop;
--- a/kwg-gate/src/gate_core/target_selection.rs
+++ b/kwg-gate/src/gate_core/target_selection.rs
@@ -38,7 +38,10 @@
                 }
                 FinalOutcome::refused_until(RefusalReason::BudgetSpent, CAPACITY_RETRY)
             }
-            PlacementDecision::NoTarget => match self.next_look(plan, permit, now) {
+            PlacementDecision::NoTarget => match self
+                .next_look(plan, permit, now)
+                .or_else(|| self.evacuation_wait(details, plan, permit, &query, now))
+            {
                 Some(until) => return PlacementStep::Wait(until),
                 None => {
                     let outcome =
--- a/kwg-gate/src/gate_core/version_moves.rs
+++ b/kwg-gate/src/gate_core/version_moves.rs
@@ -33,7 +33,7 @@
         let Self { moves, targets, .. } = self;
         moves.set_targets(|service| targets.largest_version(service));
         moves.set_presence(|service, to| targets.presence(service, to, now));
-        let running = |service: &ServiceName, to: &str| targets.running_on_others(service, to);
+        let running = |service: &ServiceName, to: &str| targets.running_on_others(service, to, now);
         moves.decide(running, is_informed, now)
     }
 
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -57,7 +57,7 @@
     RouteRule, RouteTable, ServiceRule,
 };
 pub use target::{
-    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
-    StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, EvacuatedDomains, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery,
+    StandingSource, StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId, is_usable_name};
--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -2,6 +2,7 @@
 
 mod departed_targets;
 mod draw_sequence;
+mod evacuated_domains;
 mod learned_mean;
 mod placement;
 mod slot_share;
@@ -10,6 +11,7 @@
 mod target_state;
 mod target_tracker;
 
+pub use evacuated_domains::EvacuatedDomains;
 pub use placement::{Placement, PlacementDecision, PlacementQuery, VersionFilter};
 pub use target_standing::{LONGEST_PAUSE, StandingSource, StandingState, TargetWord};
 pub use target_state::AttemptSample;
--- a/kwg-gate/src/target/target_standing.rs
+++ b/kwg-gate/src/target/target_standing.rs
@@ -28,6 +28,8 @@
     Target,
     /// A peer that has had such an answer.
     Peer,
+    /// The operators, who evacuate its failure domain. The target itself stays.
+    Evacuation,
 }
 
 /// Whether a target takes requests.
@@ -54,6 +56,8 @@
 pub(crate) struct TargetStanding {
     /// Whether its entry says that it drains.
     is_draining: bool,
+    /// Whether its failure domain is evacuated.
+    is_evacuated: bool,
     /// When its own word was first heard. It holds as long as this run of the target is known.
     own_word: Option<MonoTime>,
     /// When a peer's report of its word was first heard.
@@ -73,6 +77,7 @@
             Self::Store => "store",
             Self::Target => "target",
             Self::Peer => "peer",
+            Self::Evacuation => "evacuation",
         }
     }
 }
@@ -90,7 +95,9 @@
 }
 
 impl TargetStanding {
-    /// The state at a moment. The store's word goes first, then the target's own one.
+    /// The state at a moment. The store's word goes first, then the target's own one. A target of an evacuated
+    /// domain counts as leaving: it answers the load pattern of a domain that is about to fail, or has
+    /// failed in part, while its targets still look ready.
     pub(crate) fn state(&self, now: MonoTime) -> StandingState {
         if self.is_draining {
             return StandingState::Leaving { source: StandingSource::Store, since: None };
@@ -100,6 +107,9 @@
         let leaving = words.into_iter().find(|(_, since)| since.is_some());
         match leaving {
             Some((source, since)) => StandingState::Leaving { source, since },
+            None if self.is_evacuated => {
+                StandingState::Leaving { source: StandingSource::Evacuation, since: None }
+            }
             None if now < self.paused_until => StandingState::Paused { until: self.paused_until },
             None => StandingState::Open,
         }
@@ -110,6 +120,17 @@
         matches!(self.state(now), StandingState::Leaving { .. })
     }
 
+    /// Whether it takes no requests only because its failure domain is evacuated.
+    pub(crate) fn is_only_evacuated(&self, now: MonoTime) -> bool {
+        let source = StandingSource::Evacuation;
+        self.state(now) == StandingState::Leaving { source, since: None }
+    }
+
+    /// Applies whether its failure domain is evacuated.
+    pub(crate) fn record_evacuation(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+    }
+
     /// Whether one more request may be sent to it while `running` of this instance run there. After a pause
     /// they return a few at a time.
     pub(crate) fn accepts(&self, running: u32, now: MonoTime) -> bool {
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod evacuation;
 mod slot_allocation;
 mod target_choice;
 mod target_words;
@@ -11,8 +12,8 @@
 use super::departed_targets::DepartedTargets;
 use super::target_state::TargetState;
 use crate::{
-    AttemptSample, DomainMap, GateDigest, InstanceMap, TargetCode, TargetEntry, TargetId,
-    TargetRegistry, TargetReport, TargetRun,
+    AttemptSample, DomainMap, EvacuatedDomains, GateDigest, InstanceMap, TargetCode, TargetEntry,
+    TargetId, TargetRegistry, TargetReport, TargetRun,
 };
 
 new_key_type! {
@@ -29,6 +30,7 @@
     ids: HashMap<TargetId, TargetKey>,
     codes: HashMap<TargetCode, TargetKey>,
     departed: DepartedTargets,
+    evacuated: EvacuatedDomains,
 }
 
 impl TargetTracker {
@@ -69,6 +71,7 @@
                 self.codes.remove(&TargetCode::of(entry.id.as_str()));
             }
         }
+        self.apply_evacuation();
         self.allocate_slots();
         removed
     }
--- a/kwg-gate/src/target/target_tracker/version_targets.rs
+++ b/kwg-gate/src/target/target_tracker/version_targets.rs
@@ -13,12 +13,16 @@
         entries.filter(|entry| entry.service == *service).map(|entry| entry.version.as_str())
     }
 
-    /// Whether a version of a service has targets that are not draining, and whether others have any.
+    /// Whether a version of a service has targets that are not draining, and whether others have any. Targets of
+    /// an evacuated domain count: they stay, and the move is not to be rolled back for lack of them.
     #[must_use]
     pub fn presence(&self, service: &ServiceName, version: &str, now: MonoTime) -> VersionPresence {
         let mut of_service = self.targets.values().filter(|state| state.entry.service == *service);
         let is_version = |state: &TargetState| state.entry.version == version;
-        if !of_service.clone().any(|state| is_version(state) && !state.standing.is_leaving(now)) {
+        let stays = |state: &TargetState| {
+            !state.standing.is_leaving(now) || state.standing.is_only_evacuated(now)
+        };
+        if !of_service.clone().any(|state| is_version(state) && stays(state)) {
             VersionPresence::Absent
         } else if of_service.all(is_version) {
             VersionPresence::Sole
@@ -38,14 +42,20 @@
         counts.into_values().max().unwrap_or(0)
     }
 
-    /// Number of requests of a service that run at targets of other versions than `version`.
+    /// Number of requests of a service that run at targets of other versions than `version`. At least one
+    /// while such targets are evacuated and take requests otherwise: that nothing runs there does not show that
+    /// they are no longer needed.
     #[must_use]
-    pub fn running_on_others(&self, service: &ServiceName, version: &str) -> u32 {
+    pub fn running_on_others(&self, service: &ServiceName, version: &str, now: MonoTime) -> u32 {
         let others = self
             .targets
             .values()
             .filter(|state| state.entry.service == *service && state.entry.version != version);
-        others.map(TargetState::load).sum()
+        others
+            .clone()
+            .map(TargetState::load)
+            .sum::<u32>()
+            .max(u32::from(others.clone().any(|state| state.standing.is_only_evacuated(now))))
     }
 
     /// The last of the targets that belong to the part of a version, paused ones last; none if all belong to
--- a/kwg-gateway/src/control/control_state.rs
+++ b/kwg-gateway/src/control/control_state.rs
@@ -5,8 +5,8 @@
 use async_channel::Sender;
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    AppliedChanges, PullReply, ReadPurpose, RowChanges, StoreRow, StoreWitness, TableCopy,
-    TableMirror, TableReading, TableReplica, TargetId, TargetRegistry,
+    AppliedChanges, EvacuatedDomains, PullReply, ReadPurpose, RowChanges, StoreRow, StoreWitness,
+    TableCopy, TableMirror, TableReading, TableReplica, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
@@ -34,6 +34,7 @@
     /// What peers show of the store.
     pub(crate) witness: RefCell<StoreWitness>,
     pub(super) table_version: Cell<u64>,
+    pub(super) evacuated: RefCell<EvacuatedDomains>,
     is_store_reader: Cell<bool>,
     is_relay: Cell<bool>,
     has_left: Cell<bool>,
@@ -75,6 +76,7 @@
             store_available: RefCell::default(),
             witness: RefCell::default(),
             table_version: Cell::new(0),
+            evacuated: RefCell::default(),
             is_store_reader: Cell::new(false),
             is_relay: Cell::new(false),
             has_left: Cell::new(false),
@@ -270,7 +272,11 @@
     /// a peer.
     fn use_rows(&self, table: SharedTable, rows: &[StoreRow], source: &str) {
         match table {
-            SharedTable::Orders => rows.iter().for_each(|row| self.apply_order_row(row)),
+            SharedTable::Orders => {
+                // Before a configuration that lets requests be sent.
+                self.apply_evacuations(rows, source);
+                rows.iter().for_each(|row| self.apply_order_row(row));
+            }
             SharedTable::Targets => {
                 let now = self.clock.now();
                 for row in rows {
--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_state;
 mod control_thread;
 mod digest_handler;
+mod evacuation_rows;
 mod feed_alarm;
 mod instance_directory;
 mod metrics_server;
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -35,6 +35,7 @@
     store_calls: Family<NameLabel, Counter>,
     standings: Family<StandingLabel, Counter>,
     doubtful: Gauge,
+    evacuated: Gauge,
     target_ends: Family<NameLabel, Counter>,
     refused_contents: Gauge,
     connects: Counter,
@@ -50,6 +51,7 @@
         let store_calls = Family::default();
         let standings = Family::default();
         let doubtful = Gauge::default();
+        let evacuated = Gauge::default();
         let target_ends = Family::default();
         let refused_contents = Gauge::default();
         let connects = Counter::default();
@@ -63,6 +65,8 @@
         let help =
             "Targets that are said to leave, but that the store has listed as ready for 30 s since";
         registry.register("targets_doubtful", help, doubtful.clone());
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, evacuated.clone());
         let help = "Ends of targets under requests, by who has seen them";
         registry.register("target_ends", help, target_ends.clone());
         let help = "Contents, parts of prompts, and groups of them that are refused because targets have ended under them";
@@ -79,6 +83,7 @@
             store_calls,
             standings,
             doubtful,
+            evacuated,
             target_ends,
             refused_contents,
             connects,
@@ -115,6 +120,11 @@
         self.doubtful.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of evacuated failure domains.
+    pub(crate) fn set_evacuated(&self, count: usize) {
+        self.evacuated.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an end of a target under a request, seen by this instance or a peer.
     pub(crate) fn record_target_end(&self, seen_by: &str) {
         self.target_ends.get_or_create(&label(seen_by)).inc();
--- a/kwg-gateway/src/gateway_pipes.rs
+++ b/kwg-gateway/src/gateway_pipes.rs
@@ -2,8 +2,8 @@
 
 use async_channel::{Receiver, Sender, bounded, unbounded};
 use kwg_gate::{
-    EndRecord, GateDigest, GateOptions, InstanceMap, MoveDecision, MovePhase, RouteTable,
-    TargetRegistry, VersionOrder,
+    EndRecord, EvacuatedDomains, GateDigest, GateOptions, InstanceMap, MoveDecision, MovePhase,
+    RouteTable, TargetRegistry, VersionOrder,
 };
 use kwg_model::MonoTime;
 
@@ -22,6 +22,8 @@
     Digest(String, Box<GateDigest>),
     /// The name of a peer or failure domain, and ends of targets that it knows of.
     Ends(String, Vec<EndRecord>),
+    /// The evacuated failure domains.
+    Evacuated(EvacuatedDomains),
     /// An order of a version move, and the phase in its status row once that is known.
     Order(VersionOrder, Option<MovePhase>),
     /// Changed options, of which the retry budget and the quota tolerances are applied.
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -123,6 +123,11 @@
             wake_waiting(state);
         }
         TrafficInput::Ends(peer, records) => core.apply_ends(&peer, &records, now),
+        TrafficInput::Evacuated(domains) => {
+            core.set_evacuated(&domains);
+            drop(core);
+            WaitNotifier::wake_all(state);
+        }
         TrafficInput::Order(order, phase) => core.apply_order(&order, phase, now),
         TrafficInput::Options(options) => core.set_options(options),
         TrafficInput::Instances(instances) => core.set_instances(&instances),
