Short polls of the store have 1.5 s for their reply

Its limit is no part of the sum of waits after a silence (silent_store.rs, all pass, also with a second silence in that call).

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -17,7 +17,7 @@
 const CHANGED_WAIT: Duration = Duration::from_millis(1_200);
 /// Time for a reply beyond the wait of the call. Lost packets are sent again after 0.2 and 0.6 s.
 const REPLY_TIME: Duration = Duration::from_millis(800);
-/// Time limit for the reply to a reading.
+/// Time limit for the reply to a reading, and the lowest one of a poll.
 const READ_TIME: Duration = Duration::from_millis(1_500);
 /// The pause after a first failed call; it doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(150);
@@ -102,7 +102,8 @@
     pub fn reply_limit(self) -> Duration {
         match self {
             Self::Read | Self::Check { .. } => READ_TIME,
-            Self::Follow { wait } => wait + REPLY_TIME,
+            // Short polls ask whether a store is back that may be slow.
+            Self::Follow { wait } => (wait + REPLY_TIME).max(READ_TIME),
         }
     }
 }
