--- a/kwg-gate/src/target/mod.rs
+++ b/kwg-gate/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod cost_terms;
 mod departed_targets;
 mod draw_sequence;
+mod evacuated_domains;
 mod explain_query;
 mod explained_target;
 mod explanation;
@@ -21,6 +22,7 @@
 mod target_tracker;
 
 pub use cost_terms::CostTerms;
+pub use evacuated_domains::EvacuatedDomains;
 pub use explain_query::ExplainQuery;
 pub use explained_target::ExplainedTarget;
 pub use explanation::Explanation;
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod evacuation;
 mod explained_targets;
 mod home_regions;
 mod slot_allocation;
@@ -14,8 +15,8 @@
 use super::departed_targets::DepartedTargets;
 use super::target_state::TargetState;
 use crate::{
-    AttemptSample, DomainMap, GateDigest, InstanceMap, ServiceName, StreamPromise, TargetCode,
-    TargetEntry, TargetId, TargetRegistry, TargetReport, TargetRun,
+    AttemptSample, DomainMap, EvacuatedDomains, GateDigest, InstanceMap, ServiceName,
+    StreamPromise, TargetCode, TargetEntry, TargetId, TargetRegistry, TargetReport, TargetRun,
 };
 
 new_key_type! {
@@ -34,6 +35,7 @@
     departed: DepartedTargets,
     /// What the streams of each service promise.
     promises: HashMap<ServiceName, StreamPromise>,
+    evacuated: EvacuatedDomains,
 }
 
 impl TargetTracker {
@@ -74,6 +76,7 @@
                 self.codes.remove(&TargetCode::of(entry.id.as_str()));
             }
         }
+        self.apply_evacuation();
         self.allocate_slots();
         removed
     }
--- a/kwg-gateway/src/control/metrics_server.rs
+++ b/kwg-gateway/src/control/metrics_server.rs
@@ -66,7 +66,8 @@
     let mut reply = HeadWriter::reply(status);
     reply.field("Content-Type", kind);
     reply.field("Connection", "close");
-    if let Err((_, error)) = writer.write(&reply.finish_with(body.as_bytes())).await {
+    let reply = reply.finish_with(body.as_bytes()).expect("the fields are constant");
+    if let Err((_, error)) = writer.write(&reply).await {
         log::debug!("event=metrics-reader-gone error={error}");
     }
 }
