gate, gateway: the rate of cold targets is kept by all instances together

Ruled out: a message for each request, or an owner elected by exchange (late, and without an answer in a partition); one owner for each target, since an instance has 8 to 11 requests a second of its own; saved-up tokens.

Change: ColdGate keeps what an instance sends to a target in any 1.15 s within its share. Shares go to owners by rendezvous hashing, a third of the bound to one view of the fleet and no more than its part of the fleet; a gained share is held back for 2 s, and an instance that has heard nobody has none. ColdNotice says from an entry how long its target is cold; broken connections and 'X-Knapweedglade-Cold-Ms' count too. Cold capacity is left out of free slots, claims and predictions. Settings [cold targets], logs target-cold and target-warm, metrics.

--- a/kwg-bench/src/overload/replay_fleet.rs
+++ b/kwg-bench/src/overload/replay_fleet.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    Admitted, CallerLimits, DomainMap, EngineRule, GateCore, GateOptions, GateSession, InstanceMap,
-    QueuePosition, RegionBound, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName,
-    ServiceRule, TargetEntry, TargetId, TargetRegistry,
+    Admitted, CallerLimits, ColdNotice, DomainMap, EngineRule, GateCore, GateOptions, GateSession,
+    InstanceMap, QueuePosition, RegionBound, RequestKind, RoutePool, RouteRule, RouteTable,
+    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 use rand::Rng;
@@ -68,6 +68,7 @@
                     slots: pattern.slots,
                     is_draining: false,
                     born: 1,
+                    cold: ColdNotice::default(),
                 });
             }
         }
@@ -114,6 +115,7 @@
         name: ServiceName::new(name),
         max_connections: 1_000,
         engine,
+        cold: None,
     };
     let rules = [rule("llm", Some(engine)), rule("app", None)];
     RouteTable::new(1, RequestClass::ALL.iter().map(route), rules, [], CallerLimits::default())
--- a/kwg-gate/src/gate_core.rs
+++ b/kwg-gate/src/gate_core.rs
@@ -1,5 +1,6 @@
 mod admission;
 mod attempt_ends;
+mod cold_targets;
 mod decision_clock;
 mod home_regions;
 mod joining;
@@ -62,14 +63,18 @@
     end: Option<MonoTime>,
     /// Until when requests wait at most for what the peers know.
     joining_until: Option<MonoTime>,
+    /// Number of times that a request was placed while cold targets got none because of their rate.
+    passed_cold: u64,
 }
 
 impl GateCore {
     /// Creates a core without a route table and without targets.
     #[must_use]
     pub fn new(options: GateOptions) -> Self {
+        let mut targets = TargetTracker::new(options.domains.clone());
+        targets.set_cold_options(options.cold);
         Self {
-            targets: TargetTracker::new(options.domains.clone()),
+            targets,
             budget: RetryBudget::new(options.retry),
             table: None,
             registry: Arc::default(),
@@ -85,6 +90,7 @@
             unreached: UnreachedLog::default(),
             end: None,
             joining_until: None,
+            passed_cold: 0,
         }
     }
 
@@ -119,6 +125,7 @@
         if is_later {
             self.table = Some(Arc::clone(table));
             self.longest_waits.retain(|route| table.has_route(route));
+            self.targets.set_cold_rules(table.cold_rules());
         }
         is_later
     }
@@ -135,6 +142,7 @@
         self.budget.set_options(options.retry);
         self.quotas.set_options(options.quota);
         self.moves.set_options(options.moves);
+        self.targets.set_cold_options(options.cold);
     }
 
     /// Updates the set of live instances, this one included.
@@ -146,6 +154,7 @@
     /// Claims a share of the free slots that their owners do not need, in proportion to the waiting
     /// requests; if none wait anywhere, an equal share of `IDLE_CLAIM_SHARE`.
     pub fn claim_slots(&mut self, draw: f64, now: MonoTime) {
+        self.refresh_cold(now);
         let (waiting, peers) = (&self.waiting, &self.peers);
         let reachable = f64::from(self.peers.reachable().max(1));
         let share = |service: &str| {
--- a/kwg-gate/src/gate_core/target_selection.rs
+++ b/kwg-gate/src/gate_core/target_selection.rs
@@ -24,6 +24,7 @@
             return PlacementStep::Wait(until.min(plan.due));
         }
         let decision = self.choose_target(plan, permit, &query, draw, now);
+        let passes_cold = self.targets.passes_over_cold(&query, now);
         let outcome = match decision {
             _ if now >= plan.due => FinalOutcome::refused(RefusalReason::TimedOut),
             _ if self.refuses(details, plan, now) => FinalOutcome::refused(RefusalReason::Suspect),
@@ -34,6 +35,7 @@
                 FinalOutcome::stopping()
             }
             PlacementDecision::Send(placement) => {
+                self.passed_cold += u64::from(passes_cold);
                 if self.renew_retry(plan, now) {
                     return PlacementStep::Send(self.with_known_ends(placement));
                 }
--- a/kwg-gate/src/gate_options.rs
+++ b/kwg-gate/src/gate_options.rs
@@ -1,4 +1,4 @@
-use crate::{DomainMap, MoveOptions, QuotaOptions, RetryBudgetOptions};
+use crate::{ColdOptions, DomainMap, MoveOptions, QuotaOptions, RetryBudgetOptions};
 
 /// Settings of the gateway's decisions.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -11,4 +11,6 @@
     pub quota: QuotaOptions,
     /// How many requests new versions may get before they are proved.
     pub moves: MoveOptions,
+    /// How far the rate of cold targets may be exceeded.
+    pub cold: ColdOptions,
 }
--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -57,7 +57,8 @@
     RoutePool, RouteRule, RouteTable, ServiceRule,
 };
 pub use target::{
-    AttemptSample, LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, StandingSource,
-    StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, ColdChange, ColdNotice, ColdOptions, ColdRule, LONGEST_PAUSE, Placement,
+    PlacementDecision, PlacementQuery, StandingSource, StandingState, TargetKey, TargetTracker,
+    TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId};
--- a/kwg-gate/src/peer/instance_map.rs
+++ b/kwg-gate/src/peer/instance_map.rs
@@ -42,6 +42,17 @@
         &self,
         domain: &str,
         same_region: impl Fn(&str, &str) -> bool,
+    ) -> Vec<&str> {
+        self.owners_of_least(1, domain, same_region)
+    }
+
+    /// The instances of the same domain if there are so many, else those of the same region if there are so many, else
+    /// all.
+    pub(crate) fn owners_of_least(
+        &self,
+        least: usize,
+        domain: &str,
+        same_region: impl Fn(&str, &str) -> bool,
     ) -> Vec<&str> {
         let names = |keep: &dyn Fn(&str) -> bool| -> Vec<&str> {
             let kept = self.domains.iter().filter(|(name, _)| keep(name));
@@ -49,6 +60,7 @@
         };
         let scopes: [&dyn Fn(&str) -> bool; 3] =
             [&|name| name == domain, &|name| same_region(name, domain), &|_| true];
-        scopes.iter().map(|keep| names(keep)).find(|names| !names.is_empty()).unwrap_or_default()
+        let mut lists = scopes.iter().map(|keep| names(keep));
+        lists.find(|names| names.len() >= least).unwrap_or_else(|| names(&|_| true))
     }
 }
--- a/kwg-gate/src/registry/target_entry.rs
+++ b/kwg-gate/src/registry/target_entry.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use crate::{ServiceName, TargetId};
+use crate::{ColdNotice, ServiceName, TargetId};
 
 /// A target's own registration.
 #[derive(Debug, Clone, PartialEq)]
@@ -21,6 +21,8 @@
     pub is_draining: bool,
     /// Start time in Unix milliseconds; another value under the same name means another run.
     pub born: u64,
+    /// How long it stays cold.
+    pub cold: ColdNotice,
 }
 
 impl TargetEntry {
--- a/kwg-gate/src/registry/target_registry.rs
+++ b/kwg-gate/src/registry/target_registry.rs
@@ -19,6 +19,8 @@
     lapsed: BTreeMap<TargetId, MonoTime>,
     /// End of the grace period after the last store outage.
     grace_until: MonoTime,
+    /// When the first entries arrived: those of that moment are the instance's first reading.
+    first_reading: Option<MonoTime>,
 }
 
 impl TargetRegistry {
@@ -56,8 +58,11 @@
         now: MonoTime,
     ) {
         match entry {
-            Some(entry) => {
+            Some(mut entry) => {
                 self.lapsed.remove(id);
+                let known = self.entries.get(id).filter(|known| known.is_same_run(&entry));
+                let is_first = *self.first_reading.get_or_insert(now) == now;
+                entry.cold = entry.cold.received(known.map(|known| known.cold), is_first, now);
                 self.entries.insert(id.clone(), entry);
             }
             None => self.remove(id, now),
--- a/kwg-gate/src/table/route_table.rs
+++ b/kwg-gate/src/table/route_table.rs
@@ -1,8 +1,8 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::{
-    AccountLabel, AccountRule, CallerLimits, RegionBound, RequestDetails, RouteRule, ServiceName,
-    ServiceRule,
+    AccountLabel, AccountRule, CallerLimits, ColdRule, RegionBound, RequestDetails, RouteRule,
+    ServiceName, ServiceRule,
 };
 
 /// One version of the configuration, indexed for lookups.
@@ -112,6 +112,12 @@
         RouteMatch::Served { route, account }
     }
 
+    /// The services whose cold targets are limited, with their rules.
+    pub(crate) fn cold_rules(&self) -> HashMap<ServiceName, ColdRule> {
+        let rules = self.services.values();
+        rules.filter_map(|rule| Some((rule.name.clone(), rule.cold?))).collect()
+    }
+
     /// Regions of the lists that are not among some known ones, each once.
     #[must_use]
     pub fn unknown_regions(&self, is_known: impl Fn(&str) -> bool) -> BTreeSet<&str> {
--- a/kwg-gate/src/table/service_rule.rs
+++ b/kwg-gate/src/table/service_rule.rs
@@ -1,4 +1,4 @@
-use crate::ServiceName;
+use crate::{ColdRule, ServiceName};
 
 /// A service as configured by its operators.
 #[derive(Debug, Clone, PartialEq)]
@@ -9,6 +9,8 @@
     pub max_connections: u32,
     /// Properties of its engines, if it serves a model.
     pub engine: Option<EngineRule>,
+    /// What its targets tolerate while they are cold; none if there is no limit.
+    pub cold: Option<ColdRule>,
 }
 
 /// Properties of a batching engine.
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -3,6 +3,7 @@
 
 use kwg_model::MonoTime;
 
+use super::cold_gate::ColdGate;
 use super::learned_mean::LearnedMean;
 use super::slot_share::SlotShare;
 use super::target_health::TargetHealth;
@@ -32,6 +33,8 @@
     pub(crate) health: TargetHealth,
     /// Whether it takes requests, by the word of the store, of the target and of peers.
     pub(crate) standing: TargetStanding,
+    /// Whether it is cold, and what this instance may send to it then.
+    pub(crate) cold: ColdGate,
     /// Number of this instance's attempts that occupy a slot of the target.
     pub(crate) running: u32,
     /// Prompt tokens of this instance's attempts that the target has not read yet.
@@ -108,6 +111,7 @@
             entry,
             health: TargetHealth::default(),
             standing,
+            cold: ColdGate::default(),
             running: 0,
             unread_tokens: 0,
             idle_connections: 0,
@@ -263,10 +267,21 @@
         }
     }
 
-    /// Whether one more request of this instance may be sent to the target: it is not leaving, and wants
-    /// requests.
+    /// Whether one more request of this instance may be sent to the target: it is not leaving, wants
+    /// requests, and is not cold with this instance's share of its rate used up.
     pub(crate) fn takes_requests(&self, now: MonoTime) -> bool {
-        self.standing.accepts(self.running, now)
+        self.standing.accepts(self.running, now) && (!self.is_cold(now) || self.cold.room(now) > 0)
+    }
+
+    /// Whether the target is cold: it tolerates only few requests a second.
+    pub(crate) fn is_cold(&self, now: MonoTime) -> bool {
+        self.cold.cold_until(&self.entry.cold, now).is_some()
+    }
+
+    /// Whether a cold target has a slot for one more request. Its rate limits the requests of all instances, so that
+    /// its slots need no owners.
+    pub(crate) fn has_cold_slot(&self, now: MonoTime) -> bool {
+        self.is_cold(now) && self.load() < self.entry.slots
     }
 
     /// Mark of the target's run in reports; never 0.
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod cold_targets;
 mod home_regions;
 mod slot_allocation;
 mod target_choice;
@@ -9,6 +10,7 @@
 use kwg_model::MonoTime;
 use slotmap::{SlotMap, new_key_type};
 
+use super::cold_fleet::ColdFleet;
 use super::departed_targets::DepartedTargets;
 use super::target_state::TargetState;
 use crate::{
@@ -30,6 +32,7 @@
     ids: HashMap<TargetId, TargetKey>,
     codes: HashMap<TargetCode, TargetKey>,
     departed: DepartedTargets,
+    cold: ColdFleet,
 }
 
 impl TargetTracker {
@@ -71,6 +74,7 @@
             }
         }
         self.allocate_slots();
+        self.place_cold();
         removed
     }
 
@@ -104,6 +108,12 @@
         self.targets.keys()
     }
 
+    /// The key of a target's present run, if it is known.
+    #[must_use]
+    pub fn key(&self, id: &TargetId) -> Option<TargetKey> {
+        self.ids.get(id).copied()
+    }
+
     /// The entry of a target, if it is known.
     #[must_use]
     pub fn entry(&self, key: TargetKey) -> Option<&TargetEntry> {
@@ -122,6 +132,7 @@
             state.running += 1;
             state.unread_tokens += prompt_tokens;
             state.health.record_sent();
+            state.cold.record_placed();
         }
     }
 
@@ -147,6 +158,7 @@
         if let Some(state) = self.targets.get_mut(key) {
             state.good += 1;
             state.health.record_success(now);
+            state.cold.record_answer(MonoTime::ZERO + now.since(MonoTime::ZERO + sample.hold));
             state.standing.record_success(state.entry.slots);
             state.add_sample(sample);
         }
--- a/kwg-gate/src/target/target_tracker/home_regions.rs
+++ b/kwg-gate/src/target/target_tracker/home_regions.rs
@@ -31,7 +31,7 @@
             && !staying.any(|state| self.is_allowed(state, query))
     }
 
-    /// Number of free slots of a service in some regions that this instance may take.
+    /// Number of free slots of a service in some regions that this instance may take, those of cold targets left out.
     #[must_use]
     pub fn free_slots_within(
         &self,
@@ -72,7 +72,9 @@
         now: MonoTime,
     ) -> impl Iterator<Item = &'a TargetState> {
         let open = move |state: &&TargetState| {
-            state.takes_requests(now) && self.domains.is_within(&state.entry.domain, regions)
+            state.takes_requests(now)
+                && !state.is_cold(now)
+                && self.domains.is_within(&state.entry.domain, regions)
         };
         self.staying(service, now).filter(open)
     }
--- a/kwg-gate/src/target/target_tracker/slot_allocation.rs
+++ b/kwg-gate/src/target/target_tracker/slot_allocation.rs
@@ -8,8 +8,12 @@
 impl TargetTracker {
     /// Updates the live instances and reallocates all slots among them.
     pub fn set_instances(&mut self, instances: &InstanceMap) {
+        if self.instances != *instances {
+            self.cold.record_change();
+        }
         self.instances = instances.clone();
         self.allocate_slots();
+        self.place_cold();
     }
 
     /// Claims this instance's share of the slots that their owners leave idle, until the next
@@ -27,6 +31,8 @@
             let service = state.entry.service.as_str();
             let is_local = state.entry.domain == self.domains.own;
             let lendable = state.lendable_slots(|peer| has_waiting(peer, service), is_local);
+            // What a cold target may get is limited by its rate, not by its slots.
+            let lendable = if state.is_cold(now) { 0 } else { lendable };
             let share = share(service) * state.claim_rate(now);
             state.share.refresh(lendable, share, draws.next());
         }
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -45,7 +45,9 @@
             match (query.on_engine, load_limit) {
                 // A few targets would reach the limit too late if each instance used its own slots only.
                 (true, Some(limit)) => state.load() < limit.min(state.entry.slots),
-                (true, None) => state.has_capacity(query.is_contended, is_local),
+                (true, None) => {
+                    state.has_cold_slot(now) || state.has_capacity(query.is_contended, is_local)
+                }
                 (false, limit) => {
                     limit.is_none_or(|limit| state.load() < limit)
                         && state.is_served_in_time(query.target_latency)
@@ -119,11 +121,11 @@
         now: MonoTime,
         time_ms: impl Fn(&TargetState) -> f64,
     ) -> Duration {
-        let states = self.targets.values().filter(|state| {
-            state.entry.service.as_str() == query.service
-                && !state.standing.is_leaving(now)
-                && self.is_allowed(state, query)
-        });
+        let states =
+            || self.staying(query.service, now).filter(|state| self.is_allowed(state, query));
+        // What cold targets may get is used up at once while requests wait.
+        let any_warm = states().any(|state| !state.is_cold(now));
+        let states = states().filter(|state| !any_warm || !state.is_cold(now));
         let shortest = states.map(time_ms).fold(f64::INFINITY, f64::min);
         Duration::from_secs_f64(shortest.min(1e6) / 1e3)
     }
--- a/kwg-gate/tests/configuration.rs
+++ b/kwg-gate/tests/configuration.rs
@@ -30,7 +30,7 @@
         allows_anonymous: true,
         regions: RegionBound::default(),
     };
-    let rule = ServiceRule { name: service, max_connections: 100, engine: None };
+    let rule = ServiceRule { name: service, max_connections: 100, engine: None, cold: None };
     Arc::new(RouteTable::new(version, [route], [rule], [], CallerLimits::default()))
 }
 
--- a/kwg-gate/tests/registry.rs
+++ b/kwg-gate/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kwg_gate::{ServiceName, TargetEntry, TargetId, TargetRegistry};
+use kwg_gate::{ColdNotice, ServiceName, TargetEntry, TargetId, TargetRegistry};
 use kwg_model::MonoTime;
 
 fn entry(id: &str, is_draining: bool) -> TargetEntry {
@@ -15,6 +15,7 @@
         slots: 8,
         is_draining,
         born: 1,
+        cold: ColdNotice::default(),
     }
 }
 
--- a/kwg-gate/tests/slots.rs
+++ b/kwg-gate/tests/slots.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    DomainMap, GateDigest, InstanceMap, PlacementDecision, PlacementQuery, ServiceName,
+    ColdNotice, DomainMap, GateDigest, InstanceMap, PlacementDecision, PlacementQuery, ServiceName,
     TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker, VersionFilter,
 };
 use kwg_model::MonoTime;
@@ -37,6 +37,7 @@
             slots: SLOTS,
             is_draining: false,
             born: 1,
+            cold: ColdNotice::default(),
         })
     });
     registry.replace(1, entries, MonoTime::ZERO);
--- a/kwg-gate/tests/support/mod.rs
+++ b/kwg-gate/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallerLimits, Dispatched, DomainMap, EngineRule, GateCore, GateOptions, GateSession,
-    InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind,
+    CallerLimits, ColdNotice, Dispatched, DomainMap, EngineRule, GateCore, GateOptions,
+    GateSession, InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind,
     RetryBudgetOptions, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, TargetEntry,
     TargetId, TargetRegistry,
 };
@@ -58,7 +58,12 @@
         regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: SLOTS, memory_tokens: 100_000, tokens_per_event: 1.0 };
-    let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
+    let rule = ServiceRule {
+        name: service.clone(),
+        max_connections: 100,
+        engine: Some(engine),
+        cold: None,
+    };
     let table = RouteTable::new(1, [route], [rule], [], CallerLimits::default());
     core.set_table(&Arc::new(table));
     core.set_registry(&registry(targets));
@@ -80,6 +85,7 @@
         slots: SLOTS,
         is_draining: false,
         born: 1,
+        cold: ColdNotice::default(),
     };
     registry.replace(1, (0..targets).map(entry), start());
     Arc::new(registry)
--- a/kwg-gate/tests/support/move_fixture.rs
+++ b/kwg-gate/tests/support/move_fixture.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    AnswerOutcome, AttemptSample, CallerLimits, Dispatched, DomainMap, EngineRule, GateCore,
-    GateDigest, GateOptions, GateSession, InstanceMap, MovePhase, MoveTracker, PlacementOutcome,
-    Received, RegionBound, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
-    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry, VersionOrder,
+    AnswerOutcome, AttemptSample, CallerLimits, ColdNotice, Dispatched, DomainMap, EngineRule,
+    GateCore, GateDigest, GateOptions, GateSession, InstanceMap, MovePhase, MoveTracker,
+    PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind, RoutePool, RouteRule,
+    RouteTable, ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry, VersionOrder,
 };
 use kwg_model::MonoTime;
 
@@ -64,6 +64,7 @@
         slots: 100,
         is_draining: false,
         born: 1,
+        cold: ColdNotice::default(),
     });
     registry.replace(1, entries, at(0));
     Arc::new(registry)
@@ -91,7 +92,8 @@
         regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: 100, memory_tokens: 100_000, tokens_per_event: 1.0 };
-    let rule = ServiceRule { name: service, max_connections: 100, engine: Some(engine) };
+    let rule =
+        ServiceRule { name: service, max_connections: 100, engine: Some(engine), cold: None };
     let table = RouteTable::new(1, [route], [rule], [], CallerLimits::default());
     core.set_table(&Arc::new(table));
     core.set_registry(&registry(versions));
--- a/kwg-gate/tests/support/poison_site.rs
+++ b/kwg-gate/tests/support/poison_site.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    CallerLimits, EngineRule, RegionBound, RequestKind, RoutePool, RouteRule, RouteTable,
-    ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
+    CallerLimits, ColdNotice, EngineRule, RegionBound, RequestKind, RoutePool, RouteRule,
+    RouteTable, ServiceName, ServiceRule, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -56,6 +56,7 @@
         name: ServiceName::new(name),
         max_connections: 100,
         engine,
+        cold: None,
     };
     RouteTable::new(
         1,
@@ -101,6 +102,7 @@
             slots: SLOTS,
             is_draining: false,
             born: self.born,
+            cold: ColdNotice::default(),
         }
     }
 
--- a/kwg-gate/tests/support/store_model.rs
+++ b/kwg-gate/tests/support/store_model.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use kwg_gate::{ServiceName, StoreRow, TargetEntry, TargetId};
+use kwg_gate::{ColdNotice, ServiceName, StoreRow, TargetEntry, TargetId};
 
 /// Time limit for a reply of the store.
 pub const CALL_LIMIT: Duration = Duration::from_millis(1_500);
@@ -135,5 +135,6 @@
         slots: 8,
         is_draining,
         born: 1,
+        cold: ColdNotice::default(),
     }
 }
--- a/kwg-gate/tests/targets.rs
+++ b/kwg-gate/tests/targets.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    AttemptSample, DomainMap, InstanceMap, PlacementDecision, PlacementQuery, ServiceName,
-    TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker, VersionFilter,
+    AttemptSample, ColdNotice, DomainMap, InstanceMap, PlacementDecision, PlacementQuery,
+    ServiceName, TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker, VersionFilter,
 };
 use kwg_model::MonoTime;
 
@@ -32,6 +32,7 @@
         slots: SLOTS,
         is_draining: false,
         born: 1,
+        cold: ColdNotice::default(),
     };
     registry.replace(1, targets.iter().map(entry), MonoTime::ZERO);
     let mut tracker = TargetTracker::new(DomainMap { own: "graz".to_owned(), regions });
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -37,6 +37,9 @@
     doubtful: Gauge,
     target_ends: Family<NameLabel, Counter>,
     refused_contents: Gauge,
+    cold_targets: Gauge,
+    cold_sent: Counter,
+    cold_passed: Counter,
     connects: Counter,
     answer_seconds: Histogram,
 }
@@ -52,6 +55,9 @@
         let doubtful = Gauge::default();
         let target_ends = Family::default();
         let refused_contents = Gauge::default();
+        let cold_targets = Gauge::default();
+        let cold_sent = Counter::default();
+        let cold_passed = Counter::default();
         let connects = Counter::default();
         let answer_seconds = Histogram::new(SECONDS_BUCKETS);
         registry.register("attempts", "Attempts at targets, by outcome", attempts.clone());
@@ -67,6 +73,11 @@
         registry.register("target_ends", help, target_ends.clone());
         let help = "Contents, parts of prompts, and groups of them that are refused because targets have ended under them";
         registry.register("refused_contents", help, refused_contents.clone());
+        let help = "Targets that tolerate only few requests a second after their start";
+        registry.register("targets_cold", help, cold_targets.clone());
+        registry.register("cold_sent", "Requests sent to cold targets", cold_sent.clone());
+        let help = "Placements that passed over a cold target because of its rate";
+        registry.register("cold_passed", help, cold_passed.clone());
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
         registry.register("answer_seconds", help, answer_seconds.clone());
@@ -81,6 +92,9 @@
             doubtful,
             target_ends,
             refused_contents,
+            cold_targets,
+            cold_sent,
+            cold_passed,
             connects,
             answer_seconds,
         }
@@ -125,6 +139,21 @@
         self.refused_contents.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of cold targets.
+    pub(crate) fn set_cold_targets(&self, count: usize) {
+        self.cold_targets.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a request that is sent to a cold target.
+    pub(crate) fn record_cold_sent(&self) {
+        self.cold_sent.inc();
+    }
+
+    /// Counts placements that passed over a cold target.
+    pub(crate) fn record_cold_passed(&self, count: u64) {
+        self.cold_passed.inc_by(count);
+    }
+
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
     }
--- a/kwg-gateway/src/traffic/attempt_guard.rs
+++ b/kwg-gateway/src/traffic/attempt_guard.rs
@@ -13,12 +13,25 @@
     target: TargetKey,
     /// Prompt tokens that the target has not processed yet.
     unread_tokens: Cell<u64>,
+    /// Whether the request has been sent.
+    is_sent: Cell<bool>,
 }
 
 impl AttemptGuard {
     pub(crate) fn new(state: &Rc<TrafficState>, target: TargetKey, prompt_tokens: u64) -> Self {
         state.core.borrow_mut().targets_mut().begin_attempt(target, prompt_tokens);
-        Self { state: Rc::clone(state), target, unread_tokens: Cell::new(prompt_tokens) }
+        let (unread_tokens, is_sent) = (Cell::new(prompt_tokens), Cell::new(false));
+        Self { state: Rc::clone(state), target, unread_tokens, is_sent }
+    }
+
+    /// Records that the request is sent now.
+    pub(crate) fn record_sent(&self) {
+        if !self.is_sent.replace(true) {
+            let now = self.state.clock.now();
+            if self.state.core.borrow_mut().targets_mut().record_sent(self.target, now) {
+                self.state.metrics.record_cold_sent();
+            }
+        }
     }
 
     /// Records that the target has processed the prompt.
@@ -35,6 +48,9 @@
         self.record_prompt_read();
         let service = {
             let mut core = self.state.core.borrow_mut();
+            if !self.is_sent.get() {
+                core.targets_mut().record_unsent(self.target);
+            }
             core.targets_mut().end_attempt(self.target);
             core.targets().entry(self.target).map(|entry| entry.service.clone())
         };
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -86,7 +86,7 @@
             };
             let now = self.state.clock.now();
             exchange.set_next_check(now + SILENCE_CHECK);
-            let Ok(request) = self.encode(&session, link.target, relay) else { continue };
+            let Ok(request) = self.encode(&session, &link, relay) else { continue };
             let handed = session.hand_over(&mut self.state.core.borrow_mut(), reserved, now);
             match handed {
                 Ok(handing_over) => {
@@ -113,7 +113,7 @@
     ) -> Result<TargetExchange<'a>, AttemptEvidence> {
         let target = session.placement().target;
         let link = self.open_link(session, target).await?;
-        let request = self.encode(session, target, relay)?;
+        let request = self.encode(session, &link, relay)?;
         Ok(TargetExchange::new(self.state, self.request_id, link, request))
     }
 
@@ -129,9 +129,10 @@
     fn encode(
         &self,
         session: &GateSession<Dispatched>,
-        target: TargetKey,
+        link: &TargetLink,
         relay: &AnswerRelay<'_>,
     ) -> Result<Vec<u8>, AttemptEvidence> {
+        let target = link.target;
         let core = self.state.core.borrow();
         let entry = core.targets().entry(target);
         let may_send = session.may_reach(&core, target, self.state.clock.now());
@@ -143,7 +144,10 @@
             resume_after: relay.last_event(),
             hides_key: self.hides_key,
         };
-        Ok(TargetCodec::encode(self.head, self.body, &call))
+        let request = TargetCodec::encode(self.head, self.body, &call);
+        drop(core);
+        link.guard.record_sent();
+        Ok(request)
     }
 
     /// Reads the reply to its end and relays it, or until another target is reserved.
--- a/kwg-gateway/src/traffic/target_link.rs
+++ b/kwg-gateway/src/traffic/target_link.rs
@@ -1,3 +1,4 @@
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,6 +47,10 @@
         state.metrics.record_connect();
         let socket = ByteSocket::connect(address, CONNECT_LIMIT).await.map_err(|error| {
             log::debug!("event=connect-failed address={address} error={error}");
+            if matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) {
+                let now = state.clock.now();
+                state.core.borrow_mut().targets_mut().record_break(target, now);
+            }
             AttemptEvidence::NotSent
         })?;
         Ok(Self { target, guard, socket, is_reused: false, since })
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -71,6 +71,9 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         let changed = core.targets_mut().record_word(target, word, now);
+        if let Some(left) = TargetCodec::decode_cold(head) {
+            core.targets_mut().record_cold(target, left, now);
+        }
         let name = core.targets().entry(target).map_or("gone", |entry| entry.id.as_str());
         if let Some(text) = bad_pause {
             let line = EventLine::new("pause-unreadable").field("target", name);
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 use kwg_clock::ClockHandle;
 use kwg_gate::{GateCore, MoveDecision, MovePhase, RouteTable, ServiceName, StandingSource};
+use kwg_model::MonoTime;
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use rand::random;
@@ -28,6 +29,8 @@
 /// How often a draining instance checks whether the last connection has closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Log lines on cold targets in each interval: all targets of a failure domain.
+const MAX_COLD_LINES: usize = 64;
 /// Log lines on unknown regions for each table: enough to find the mistake.
 const MAX_REGION_LINES: usize = 8;
 
@@ -165,6 +168,22 @@
     }
 }
 
+/// Logs and counts which targets are cold.
+fn report_cold(state: &TrafficState, core: &mut GateCore, now: MonoTime) {
+    for change in core.take_cold_changes(now).iter().take(MAX_COLD_LINES) {
+        let line = match change.left {
+            Some(left) => EventLine::new("target-cold")
+                .field("target", &change.target)
+                .field("left_ms", left.as_millis())
+                .field("suspected", change.is_suspected),
+            None => EventLine::new("target-warm").field("target", &change.target),
+        };
+        log::info!("{}", line.field("share", change.share));
+    }
+    state.metrics.set_cold_targets(core.targets().cold_count(now));
+    state.metrics.record_cold_passed(core.take_passed_cold());
+}
+
 /// Wakes as many waiting requests of each service as there may be free slots.
 fn wake_waiting(state: &TrafficState) {
     let free: Vec<(ServiceName, u32)> = {
@@ -172,7 +191,9 @@
         let waiting = core.waiting().counts().filter(|(_, count)| *count > 0);
         waiting
             .map(|(service, count)| {
-                let free = core.targets().free_slots(service.as_str(), state.clock.now());
+                let (name, now) = (service.as_str(), state.clock.now());
+                let targets = core.targets();
+                let free = targets.free_slots(name, now) + targets.cold_room(name, None, now);
                 (service.clone(), free.min(u32::try_from(count).unwrap_or(u32::MAX)))
             })
             .collect()
@@ -197,6 +218,7 @@
             log::warn!("event=leaving-doubtful target={target}");
         }
         state.metrics.set_doubtful(core.targets().doubtful_count(now));
+        report_cold(&state, &mut core, now);
         let (proved, decisions): (Vec<MoveDecision>, Vec<MoveDecision>) =
             core.decide_moves(now).into_iter().partition(|made| made.phase == MovePhase::Running);
         for MoveDecision { order, reason, .. } in proved {
--- a/kwg-gateway/src/traffic/wait_notifier.rs
+++ b/kwg-gateway/src/traffic/wait_notifier.rs
@@ -61,7 +61,11 @@
         let now = state.clock.now();
         let may_use = |core: &GateCore, waker: &WaitWaker| match waker.regions.names() {
             None => true,
-            names => core.targets().free_slots_within(service.as_str(), names, now) > 0,
+            names => {
+                let (targets, service) = (core.targets(), service.as_str());
+                targets.free_slots_within(service, names, now) > 0
+                    || targets.cold_room(service, names, now) > 0
+            }
         };
         Self::wake_where(state, service, count, may_use);
     }
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -9,10 +9,10 @@
 use futures_lite::future::poll_once;
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    Admitted, AttemptEvidence, CallerLimits, DomainMap, EngineRule, GateCore, GateOptions,
-    GateSession, InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails, RequestKind,
-    RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep, TargetEntry, TargetId,
-    TargetRegistry,
+    Admitted, AttemptEvidence, CallerLimits, ColdNotice, DomainMap, EngineRule, GateCore,
+    GateOptions, GateSession, InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails,
+    RequestKind, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep,
+    TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -45,7 +45,12 @@
         regions: RegionBound::default(),
     };
     let engine = EngineRule { slots: 1, memory_tokens: 100_000, tokens_per_event: 1.0 };
-    let rule = ServiceRule { name: service.clone(), max_connections: 100, engine: Some(engine) };
+    let rule = ServiceRule {
+        name: service.clone(),
+        max_connections: 100,
+        engine: Some(engine),
+        cold: None,
+    };
     let bound = RouteRule {
         name: "bound".to_owned(),
         prefix: "/bound/".to_owned(),
@@ -64,6 +69,7 @@
         slots: 1,
         is_draining: false,
         born: 1,
+        cold: ColdNotice::default(),
     };
     registry.replace(1, [entry], now);
     core.set_registry(&Arc::new(registry));
--- a/kwg-settings/src/gateway_settings.rs
+++ b/kwg-settings/src/gateway_settings.rs
@@ -3,7 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use kwg_gate::{DomainMap, GateOptions, MoveOptions, QuotaOptions, RetryBudgetOptions};
+use kwg_gate::{
+    ColdOptions, DomainMap, GateOptions, MoveOptions, QuotaOptions, RetryBudgetOptions,
+};
 use kwg_model::InstanceName;
 use log::LevelFilter;
 
@@ -101,6 +103,17 @@
         if !(0.0..=1e6).contains(&moves.exposure_requests) {
             return Err(section.invalid("exposure_requests", "is not between 0 and 1000000"));
         }
+        let section = ini.section("cold targets");
+        let cold = ColdOptions {
+            overshoot: section.value("overshoot", Some(ColdOptions::default().overshoot))?,
+            slack: section.value("slack", Some(ColdOptions::default().slack))?,
+        };
+        if !(0.0..=10.0).contains(&cold.overshoot) {
+            return Err(section.invalid("overshoot", "is not between 0 and 10"));
+        }
+        if !(0.0..=1e6).contains(&cold.slack) {
+            return Err(section.invalid("slack", "is not between 0 and 1000000"));
+        }
         let settings = Self {
             name: gateway.convert("name", None, |text| InstanceName::new(text))?,
             front: gateway.value("front", None)?,
@@ -116,6 +129,7 @@
                 retry,
                 quota: tolerance,
                 moves,
+                cold,
             },
             log_level: ini.section("log").value("level", Some(LevelFilter::Info))?,
         };
--- a/kwg-settings/tests/gateway_settings.rs
+++ b/kwg-settings/tests/gateway_settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kwg_gate::ColdOptions;
 use kwg_settings::GatewaySettings;
 
 const VALID: &str = "\
@@ -82,3 +83,81 @@
         assert_eq!(error_of(&VALID.replace(from, to)), expected);
     }
 }
+
+#[test]
+fn the_tolerance_for_cold_targets_is_read_and_bounded() {
+    let with = |section: &str| VALID.replace("[log]", &format!("{section}\n[log]"));
+    let settings = GatewaySettings::parse("g.ini", VALID).expect("valid");
+    assert_eq!(settings.gate.cold, ColdOptions { overshoot: 1.0, slack: 0.0 }, "the rate itself");
+    let text = with("[cold targets]\novershoot = 1.5\nslack = 5");
+    let settings = GatewaySettings::parse("g.ini", &text).expect("valid");
+    assert_eq!(settings.gate.cold, ColdOptions { overshoot: 1.5, slack: 5.0 });
+    for (section, error) in [
+        (
+            "[cold targets]\novershoot = 11",
+            "'overshoot' in [cold targets]: is not between 0 and 10",
+        ),
+        ("[cold targets]\nslack = -1", "'slack' in [cold targets]: is not between 0 and 1000000"),
+        ("[cold targets]\nslacks = 1", "unknown key 'slacks' in [cold targets]"),
+    ] {
+        assert!(
+            error_of(&with(section)).ends_with(error),
+            "{section}: {}",
+            error_of(&with(section))
+        );
+    }
+}
+
+/// The template must give valid settings with and without the values of newer deployments, and nothing of them without.
+#[test]
+fn the_template_is_valid_with_and_without_the_tolerance_for_cold_targets() {
+    let template = include_str!("../../deploy/gateway.ini");
+    let old = render(template, false);
+    assert!(!old.contains("cold") && !old.contains("{{"), "{old}");
+    let settings = GatewaySettings::parse("g.ini", &old).expect("valid");
+    assert_eq!(settings.gate.cold, ColdOptions::default());
+    let new = render(template, true);
+    assert!(!new.contains("{{"), "{new}");
+    let settings = GatewaySettings::parse("g.ini", &new).expect("valid");
+    assert_eq!(settings.gate.cold, ColdOptions { overshoot: 1.5, slack: 5.0 });
+}
+
+/// Fills the template as the platform does. A block of a value is rendered once if the deployment has the value.
+fn render(template: &str, has_cold: bool) -> String {
+    let mut text = template.to_owned();
+    let zones = "{{#zones}}{{@}} = {{.}}\n{{/zones}}";
+    assert!(text.contains(zones));
+    text = text.replace(zones, "graz = ost\nibk = west\n");
+    for name in ["bounds.coldOvershoot", "bounds.coldSlack"] {
+        let (begin, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+        let from = text.find(&begin).expect("a block");
+        let to = text.find(&end).expect("its end") + end.len();
+        let content = text[from + begin.len()..to - end.len()].to_owned();
+        text.replace_range(from..to, if has_cold { &content } else { "" });
+    }
+    let values = [
+        ("nodeName", "front-graz-1"),
+        ("zone", "graz"),
+        ("listen.front", "127.0.0.1:7001"),
+        ("listen.ready", "127.0.0.1:7002"),
+        ("ip", "127.0.0.1"),
+        ("portRange.0", "7600"),
+        ("provider.address", "127.0.0.1:7005"),
+        ("bounds.graceS", "8"),
+        ("limits.memoryMb", "88"),
+        ("limits.maxFds", "4100"),
+        ("bounds.retryBudgetRatio", "0.2"),
+        ("bounds.budgetExtra", "58"),
+        ("bounds.budgetWindowS", "10"),
+        ("bounds.quotaOvershoot", "0.1"),
+        ("bounds.quotaSlack", "140000"),
+        ("bounds.exposureShare", "0.1"),
+        ("bounds.exposureSlack", "50"),
+        ("bounds.coldOvershoot", "1.5"),
+        ("bounds.coldSlack", "5"),
+    ];
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    text
+}
--- a/review/lab/src/gateway.rs
+++ b/review/lab/src/gateway.rs
@@ -85,6 +85,13 @@
     if let (Some(from), Some(to)) = (text.find(begin), text.find(end)) {
         text.replace_range(from..to + end.len(), &zones);
     }
+    // What depends on a value that the deployment does not have is left out.
+    while let Some(from) = text.find("{{#bounds.") {
+        let name = text[from + 3..].split("}}").next().unwrap_or_default().to_owned();
+        let end = format!("{{{{/{name}}}}}");
+        let to = text[from..].find(&end).map_or(text.len(), |at| from + at + end.len());
+        text.replace_range(from..to, "");
+    }
     let fields = [
         ("nodeName", name.to_owned()),
         ("zone", "ost-graz".to_owned()),
