--- a/kwg-gate/tests/cold_return.rs
+++ b/kwg-gate/tests/cold_return.rs
@@ -5,10 +5,13 @@
 
 use kwg_gate::ColdRule;
 
-use support::{BOUND, COLD_MS, COLD_PER_S, ColdFleet};
+use cold_fleet::ColdFleet;
+use cold_site::{BOUND, COLD_MS, COLD_PER_S};
 
 #[path = "support/cold_fleet.rs"]
-mod support;
+mod cold_fleet;
+#[path = "support/cold_site.rs"]
+mod cold_site;
 
 /// Instances and failure domains of the fleets.
 const FLEETS: [(usize, usize); 3] = [(9, 3), (89, 6), (300, 6)];
@@ -105,3 +108,19 @@
         assert!(fleet.worst_second() <= BOUND, "{size:?}: {}", fleet.worst_second());
     }
 }
+
+/// Nobody knows for up to a second that an engine has turned cold. What it gets until then is not bounded by the rule, but
+/// by what it got before; from then on the rule holds, and what was sent just before counts.
+#[test]
+fn engines_that_turn_cold_again_get_no_more_than_before_and_soon_what_they_tolerate() {
+    for size in FLEETS {
+        let mut fleet = returned(size, rule());
+        fleet.run_ms(COLD_MS + 6_000);
+        let before = fleet.turn_cold();
+        fleet.run_ms(4_000);
+        let (first, later) = (fleet.worst_within(0, 1_000), fleet.worst_within(1_050, 3_000));
+        println!("{size:?}: {before} before, {first} in the first second, {later} later");
+        assert!(first <= before + BOUND / 3, "{size:?}: {before} {first}");
+        assert!(later <= BOUND, "{size:?}: {later}");
+    }
+}
--- a/kwg-gate/tests/support/cold_fleet.rs
+++ b/kwg-gate/tests/support/cold_fleet.rs
@@ -3,31 +3,20 @@
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kwg_gate::{
-    Admitted, CallerLimits, ColdNotice, ColdOptions, ColdRule, Dispatched, DomainMap, EngineRule,
-    GateCore, GateDigest, GateOptions, GateSession, InstanceMap, PlacementOutcome, QueuePosition,
-    Received, RegionBound, RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable,
-    ServiceName, ServiceRule, TargetEntry, TargetId, TargetKey, TargetRegistry,
+    Admitted, ColdRule, Dispatched, GateCore, GateDigest, GateSession, InstanceMap,
+    PlacementOutcome, QueuePosition, Received, ServiceName, TargetKey, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
-/// Requests a second that a cold engine tolerates.
-pub const COLD_PER_S: f64 = 11.0;
-/// Tolerance of all instances together.
-pub const OPTIONS: ColdOptions = ColdOptions { overshoot: 1.5, slack: 5.0 };
-/// Most requests that may arrive at a cold engine in any one second.
-pub const BOUND: usize = 21;
-/// Time for which an engine is cold.
-pub const COLD_MS: u64 = 8_000;
-/// Slots of an engine.
-const SLOTS: u32 = 6;
-/// Engines of the failure domain that returns.
-pub const RETURNING: usize = 19;
+use super::cold_site::{
+    COLD_MS, Draws, RETURNING, at, core, domain_name, entry, request, worst_second,
+};
+
 /// Engines of each other failure domain, which are warm.
 const WARM: usize = 2;
 /// Age of peers' reports on arrival.
@@ -47,23 +36,6 @@
 /// Silence after which instances are left out of the list of live ones; 20 s in the product, so that this is harder.
 const FORGET_MS: u64 = 1_500;
 
-/// Deterministic numbers in [0, 1).
-#[derive(Debug)]
-pub struct Draws(pub u64);
-
-impl Draws {
-    pub fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
-    }
-
-    pub fn millis(&mut self, below: u64) -> u64 {
-        (self.next() * below as f64) as u64
-    }
-}
-
 type Waiter = (GateSession<Admitted>, QueuePosition, u64);
 
 /// A request between its placement and its end.
@@ -106,32 +78,10 @@
     rule: Option<ColdRule>,
     draws: Draws,
     number: u64,
+    sequence: u64,
     domains: usize,
 }
 
-fn at(millis: u64) -> MonoTime {
-    MonoTime::from_millis(millis)
-}
-
-fn domain_name(index: usize) -> String {
-    format!("d{index}")
-}
-
-fn entry(domain: usize, index: usize, born: u64, cold_ms: u64) -> TargetEntry {
-    let port = u16::try_from(index + 1).expect("few engines");
-    TargetEntry {
-        id: TargetId::new(&format!("e-{domain}-{index}")),
-        service: ServiceName::new("llm"),
-        address: SocketAddr::from(([127, 0, 0, domain as u8 + 1], port)),
-        domain: domain_name(domain),
-        version: "v1".to_owned(),
-        slots: SLOTS,
-        is_draining: false,
-        born,
-        cold: ColdNotice::written(Some(Duration::from_millis(cold_ms)), born),
-    }
-}
-
 impl ColdFleet {
     /// A fleet whose first domain has no engines yet. Without a rule nothing is limited.
     pub fn new(instances: usize, domains: usize, rule: Option<ColdRule>, seed: u64) -> Self {
@@ -146,11 +96,12 @@
             rule,
             draws: Draws(seed),
             number: 0,
+            sequence: 2,
             domains,
         };
         for index in 0..instances {
             let (name, domain) = (format!("n-{index:03}"), domain_name(index % domains));
-            let core = fleet.core(&domain);
+            let core = core(domains, &domain, rule);
             let instances = InstanceMap::default();
             fleet.nodes.push(Node {
                 name,
@@ -170,40 +121,6 @@
         fleet
     }
 
-    fn core(&self, domain: &str) -> GateCore {
-        // The first half of the domains is one region.
-        let region = |index: usize| if index < self.domains.div_ceil(2) { "ost" } else { "west" };
-        let regions = (0..self.domains).map(|index| (domain_name(index), region(index).to_owned()));
-        let domains = DomainMap { own: domain.to_owned(), regions: regions.collect() };
-        let mut core =
-            GateCore::new(GateOptions { domains, cold: OPTIONS, ..GateOptions::default() });
-        let service = ServiceName::new("llm");
-        let route = RouteRule {
-            name: "draft".to_owned(),
-            host: "h".to_owned(),
-            prefix: "/".to_owned(),
-            kind: RequestKind::Idempotent,
-            timeout: Duration::from_secs(12),
-            target_latency: Duration::from_secs(6),
-            gap_target: None,
-            rank: 0,
-            pools: vec![RoutePool { service: service.clone(), weight: 1 }],
-            max_attempts: 2,
-            allows_anonymous: true,
-            regions: RegionBound::default(),
-        };
-        let engine = EngineRule { slots: SLOTS, memory_tokens: 100_000, tokens_per_event: 1.0 };
-        let rule = ServiceRule {
-            name: service,
-            max_connections: 100,
-            engine: Some(engine),
-            cold: self.rule,
-        };
-        let table = RouteTable::new(1, [route], [rule], [], CallerLimits::default());
-        core.set_table(&Arc::new(table));
-        core
-    }
-
     /// Starts an instance: it reads the store, and has heard nobody.
     fn start(&mut self, index: usize) {
         let now = at(self.now_ms);
@@ -226,7 +143,7 @@
 
     /// Stops an instance and starts it again at once, without what it knew and had.
     pub fn restart(&mut self, index: usize) {
-        let core = self.core(&self.nodes[index].domain.clone());
+        let core = core(self.domains, &self.nodes[index].domain, self.rule);
         let node = &mut self.nodes[index];
         (node.core, node.run) = (core, node.run + 1);
         node.waiting.clear();
@@ -284,7 +201,8 @@
         for node in &mut self.nodes {
             if node.entries_ms.is_some_and(|due| due <= self.now_ms) {
                 node.entries_ms = None;
-                for engine in (0..RETURNING).map(|index| entry(0, index, 2, COLD_MS)) {
+                for mut engine in (0..RETURNING).map(|index| entry(0, index, 2, COLD_MS)) {
+                    engine.cold.sequence = self.sequence;
                     node.registry.apply(2, &engine.id.clone(), Some(engine), now);
                 }
                 node.core.set_registry(&Arc::new(node.registry.clone()));
@@ -295,17 +213,7 @@
     fn arrive(&mut self, index: usize) {
         self.number += 1;
         let now = at(self.now_ms);
-        let details = RequestDetails {
-            id: format!("r{}", self.number),
-            host: "h".to_owned(),
-            path: "/a".to_owned(),
-            key: None,
-            parts: Vec::new(),
-            tokens: None,
-            arrived: now,
-            deadline: now + Duration::from_secs(12),
-            fingerprint: self.number,
-        };
+        let details = request(self.number, now);
         let core = &mut self.nodes[index].core;
         let session = GateSession::<Received>::new(details).admit(core, 0.5, now);
         self.place(index, session.expect("admitted"));
@@ -460,15 +368,24 @@
 
     /// Most requests that arrived at one returned engine in any one second.
     pub fn worst_second(&self) -> usize {
-        let worst = |arrivals: &Vec<u64>| {
-            let mut sorted = arrivals.clone();
-            sorted.sort_unstable();
-            let count = |from: usize| {
-                sorted[from..].iter().take_while(|ms| **ms < sorted[from] + 1_000).count()
-            };
-            (0..sorted.len()).map(count).max().unwrap_or(0)
-        };
-        self.arrivals.values().map(worst).max().unwrap_or(0)
+        worst_second(&self.arrivals, 0, u64::MAX)
+    }
+
+    /// The same in the seconds that begin between two times after the last change of the engines.
+    pub fn worst_within(&self, from: u64, to: u64) -> usize {
+        let start = self.returned_ms.expect("returned");
+        worst_second(&self.arrivals, start + from, start + to)
+    }
+
+    /// The engines turn cold once more, without an end of their connections; the entries that say so arrive up to a second
+    /// later. Returns the most requests that arrived at one engine in any second of the three before.
+    pub fn turn_cold(&mut self) -> usize {
+        let before = worst_second(&self.arrivals, self.now_ms - 3_000, self.now_ms - 1_000);
+        (self.returned_ms, self.sequence) = (Some(self.now_ms), self.sequence + 1);
+        for node in &mut self.nodes {
+            node.entries_ms = Some(self.now_ms + self.draws.millis(1_000));
+        }
+        before
     }
 
     /// Mean number of requests a second that arrived at the returned engines between two times after their return.
