gate: refused connections to a cold target count as its failures

Cause: a refused connection makes its target suspected, which counted as a reason for which the request was withheld, so that the failure was not recorded and the target never paused.

Change: only an entry or a reply that has arrived since the placement is such a reason; whether the rate allows a request is asked apart from whether the target is open.

--- a/kwg-gate/src/session/gate_session.rs
+++ b/kwg-gate/src/session/gate_session.rs
@@ -168,6 +168,7 @@
     pub fn may_reach(&self, core: &GateCore, target: TargetKey, now: MonoTime) -> bool {
         let plan = &self.state.plan;
         core.targets().is_open(target, now)
+            && core.targets().is_within_rate(target, now)
             && core.is_in_regions(&self.details, plan, target)
             && !core.refuses(&self.details, plan, now)
     }
--- a/kwg-gate/src/target/cold_gate.rs
+++ b/kwg-gate/src/target/cold_gate.rs
@@ -43,6 +43,8 @@
     sent: VecDeque<MonoTime>,
     /// When a connection to the target last broke or could not be opened.
     broken: Option<MonoTime>,
+    /// When a reply of the target has last said how much longer it is cold.
+    told_at: MonoTime,
     /// Until when the target is cold by its own replies.
     told_until: MonoTime,
     /// Whether it has been reported to be cold.
@@ -104,10 +106,10 @@
         self.cold_until(notice, now).is_some() && by_word.is_none_or(|until| until <= now)
     }
 
-    /// Whether the target became cold later than at `time`.
+    /// Whether the target has said later than at `time` that it is cold.
     pub(crate) fn turned_cold_after(&self, notice: &ColdNotice, time: MonoTime) -> bool {
         // The entry arrives at the control thread a moment before it is in force.
-        notice.arrived + ENTRY_DELAY / 10 >= time || self.broken.is_some_and(|at| at >= time)
+        notice.arrived + ENTRY_DELAY / 10 >= time || self.told_at >= time
     }
 
     /// Number of requests that this instance may still send now if the target is cold.
@@ -169,7 +171,7 @@
 
     /// Records that the target says in a reply how much longer it is cold.
     pub(crate) fn record_told(&mut self, left: Duration, now: MonoTime) {
-        self.told_until = now + left;
+        (self.told_at, self.told_until) = (now, now + left);
     }
 
     /// Whether the target has become cold or warm since the last call.
--- a/kwg-gate/src/target/target_tracker/cold_targets.rs
+++ b/kwg-gate/src/target/target_tracker/cold_targets.rs
@@ -95,7 +95,13 @@
         self.targets.get(key).is_some_and(|state| state.is_cold(now))
     }
 
-    /// Whether a target has become cold since a request was placed there, so that the request may be withheld.
+    /// Whether a request that has a place at a target may be sent there as far as its rate goes.
+    pub(crate) fn is_within_rate(&self, key: TargetKey, now: MonoTime) -> bool {
+        let is_within = |state: &TargetState| !state.is_cold(now) || state.cold.is_within(now);
+        self.targets.get(key).is_some_and(is_within)
+    }
+
+    /// Whether a target has said since a request was placed there that it is cold, so that the request may be withheld.
     pub(crate) fn turned_cold(&self, key: TargetKey, chosen: MonoTime, now: MonoTime) -> bool {
         self.targets.get(key).is_some_and(|state| {
             state.is_cold(now) && state.cold.turned_cold_after(&state.entry.cold, chosen)
--- a/kwg-gate/src/target/target_tracker/target_words.rs
+++ b/kwg-gate/src/target/target_tracker/target_words.rs
@@ -18,14 +18,10 @@
         ends.min().filter(|end| *end > now).map(|end| end.since(now))
     }
 
-    /// Whether a target is known, does not leave and does not pause, and a request that has a place there may be sent
-    /// as far as its rate goes if it is cold.
+    /// Whether a target is known, does not leave and does not pause.
     #[must_use]
     pub fn is_open(&self, key: TargetKey, now: MonoTime) -> bool {
-        self.targets.get(key).is_some_and(|state| {
-            state.standing.state(now) == StandingState::Open
-                && (!state.is_cold(now) || state.cold.is_within(now))
-        })
+        self.standing(key, now) == Some(StandingState::Open)
     }
 
     /// Whether a target takes requests, and who says so; none if it is not known.
--- a/kwg-gate/tests/cold_targets.rs
+++ b/kwg-gate/tests/cold_targets.rs
@@ -339,3 +339,25 @@
     assert_eq!(site.core.take_passed_cold(), 100);
     assert_eq!(site.core.take_passed_cold(), 0);
 }
+
+/// A target that refuses connections is suspected, and must still be paused by its failures.
+#[test]
+fn a_target_that_refuses_connections_is_paused_although_it_is_cold() {
+    let mut site = Site::new(vec![entry(0, 1, Some(60_000), 1)]);
+    let now = after(3_000);
+    for number in 0..2 {
+        let session = send(&mut site.core, number, now);
+        let target = session.placement().target;
+        site.core.targets_mut().record_break(target, now);
+        site.core.targets_mut().record_unsent(target);
+        site.core.targets_mut().end_attempt(target);
+        session.close(&mut site.core, kwg_gate::AttemptEvidence::NotSent, now);
+    }
+    let other = entry(1, 1, Some(60_000), 1);
+    site.apply(other, now);
+    let other = site.key(1);
+    for number in 10..13 {
+        let session = send(&mut site.core, number, now);
+        assert_eq!(session.placement().target, other, "the first one has failed twice");
+    }
+}
--- a/kwg-gate/tests/support/cold_fleet.rs
+++ b/kwg-gate/tests/support/cold_fleet.rs
@@ -5,7 +5,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use kwg_gate::{
     Admitted, ColdRule, Dispatched, GateCore, GateDigest, GateSession, InstanceMap,
