--- a/kwg-gate/src/gate_core/attempt_ends.rs
+++ b/kwg-gate/src/gate_core/attempt_ends.rs
@@ -14,10 +14,11 @@
         now: MonoTime,
     ) {
         let (target, evidence) = (end.placement.target, end.evidence);
-        // The target was found to leave or pause, or to be cold, while it was being connected, or the request is refused there by now.
         if evidence == AttemptEvidence::Cut {
             self.targets.record_break(target, now);
         }
+        // While it was being connected, the target was found to leave, to pause or to be cold, or the request may not run
+        // there any more.
         let is_withheld = !self.targets.is_open(target, now)
             || self.targets.turned_cold(target, end.placement.chosen, now)
             || !self.is_in_regions(details, plan, target)
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -63,8 +63,8 @@
     }
 
     /// Shortest expected time until the first event, or until the answer, if a slot were free, over
-    /// all targets of the service in the allowed regions that are not draining. Their version, health and earlier attempts
-    /// are ignored. 1000 s if there is no such target.
+    /// all targets of the service in the allowed regions that are not draining; cold ones only if all
+    /// are. Their version, health and earlier attempts are ignored. 1000 s if there is no such target.
     #[must_use]
     pub fn best_expected(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Duration {
         self.shortest(query, now, |state| {
