--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -57,8 +57,9 @@
     RoutePool, RouteRule, RouteTable, ServiceRule, StreamPromise,
 };
 pub use target::{
-    AttemptSample, CostTerms, EvacuatedDomains, ExplainQuery, ExplainedTarget, Explanation,
-    LONGEST_PAUSE, Placement, PlacementDecision, PlacementQuery, SpeedReading, StandingSource,
-    StandingState, TargetKey, TargetTracker, TargetWord, VersionFilter,
+    AttemptSample, ColdChange, ColdNotice, ColdOptions, ColdRule, CostTerms, EvacuatedDomains,
+    ExplainQuery, ExplainedTarget, Explanation, LONGEST_PAUSE, Placement, PlacementDecision,
+    PlacementQuery, SpeedReading, StandingSource, StandingState, TargetKey, TargetTracker,
+    TargetWord, VersionFilter,
 };
 pub use text_key::{AccountLabel, RouteLabel, ServiceName, TargetId, is_usable_name};
--- a/kwg-gate/src/target/target_tracker.rs
+++ b/kwg-gate/src/target/target_tracker.rs
@@ -1,3 +1,4 @@
+mod cold_targets;
 mod evacuation;
 mod explained_targets;
 mod home_regions;
@@ -12,6 +13,7 @@
 use kwg_model::MonoTime;
 use slotmap::{SlotMap, new_key_type};
 
+use super::cold_fleet::ColdFleet;
 use super::departed_targets::DepartedTargets;
 use super::target_state::TargetState;
 use crate::{
@@ -36,6 +38,7 @@
     /// What the streams of each service promise.
     promises: HashMap<ServiceName, StreamPromise>,
     evacuated: EvacuatedDomains,
+    cold: ColdFleet,
 }
 
 impl TargetTracker {
@@ -78,6 +81,7 @@
         }
         self.apply_evacuation();
         self.allocate_slots();
+        self.place_cold();
         removed
     }
 
@@ -111,6 +115,12 @@
         self.targets.keys()
     }
 
+    /// The key of a target's present run, if it is known.
+    #[must_use]
+    pub fn key(&self, id: &TargetId) -> Option<TargetKey> {
+        self.ids.get(id).copied()
+    }
+
     /// The entry of a target, if it is known.
     #[must_use]
     pub fn entry(&self, key: TargetKey) -> Option<&TargetEntry> {
@@ -129,6 +139,7 @@
             state.running += 1;
             state.unread_tokens += prompt_tokens;
             state.health.record_sent();
+            state.cold.record_placed();
         }
     }
 
@@ -154,6 +165,7 @@
         if let Some(state) = self.targets.get_mut(key) {
             state.good += 1;
             state.health.record_success(now);
+            state.cold.record_answer(MonoTime::ZERO + now.since(MonoTime::ZERO + sample.hold));
             state.standing.record_success(state.entry.slots);
             state.add_sample(sample, now);
         }
--- a/kwg-gate/src/target/target_tracker/explained_targets.rs
+++ b/kwg-gate/src/target/target_tracker/explained_targets.rs
@@ -44,7 +44,7 @@
         let load_limit = self.load_limit(query, now);
         let state_of = |state: &TargetState| match obstacle(state) {
             Some(obstacle) => obstacle,
-            None if !self.has_capacity(state, query, load_limit) => "full",
+            None if !self.has_capacity(state, query, load_limit, now) => "full",
             None => OPEN,
         };
         let explained = |(state, risk): &(&TargetState, PauseRisk)| {
--- a/kwg-gate/src/target/target_tracker/target_choice.rs
+++ b/kwg-gate/src/target/target_tracker/target_choice.rs
@@ -42,7 +42,7 @@
         let accepting = open().filter(|(_, state)| !any_accepts || accepts(state));
         let load_limit = self.load_limit(query, now);
         let with_capacity = accepting
-            .filter(|(_, state)| self.has_capacity(state, query, load_limit))
+            .filter(|(_, state)| self.has_capacity(state, query, load_limit, now))
             .map(|(key, state)| (key, state, PauseRisk::assess(state, query)));
         match self.cheapest(with_capacity, query, now, draw) {
             Some(placement) => PlacementDecision::Send(placement),
@@ -57,13 +57,15 @@
         state: &TargetState,
         query: &PlacementQuery<'_>,
         load_limit: Option<u32>,
+        now: MonoTime,
     ) -> bool {
         let is_local = state.entry.domain == self.domains.own;
         match (query.on_engine, load_limit) {
             // A few targets would reach the limit too late if each instance used its own slots only.
             (true, Some(limit)) => state.load() < limit.min(state.entry.slots),
             (true, None) => {
-                state.has_capacity(query.is_contended, is_local)
+                state.has_cold_slot(now)
+                    || state.has_capacity(query.is_contended, is_local)
                     || (query.is_last_resort && state.has_last_capacity())
             }
             (false, limit) => {
@@ -74,8 +76,8 @@
     }
 
     /// Shortest expected time until the first event, or until the answer, if a slot were free, over
-    /// all targets of the service in the allowed regions that are not draining. Their version, health and earlier attempts
-    /// are ignored. 1000 s if there is no such target.
+    /// all targets of the service in the allowed regions that are not draining; cold ones only if all
+    /// are. Their version, health and earlier attempts are ignored. 1000 s if there is no such target.
     #[must_use]
     pub fn best_expected(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Duration {
         self.shortest(query, now, |state| {
@@ -132,11 +134,11 @@
         now: MonoTime,
         time_ms: impl Fn(&TargetState) -> f64,
     ) -> Duration {
-        let states = self.targets.values().filter(|state| {
-            state.entry.service.as_str() == query.service
-                && !state.standing.is_leaving(now)
-                && self.is_allowed(state, query)
-        });
+        let states =
+            || self.staying(query.service, now).filter(|state| self.is_allowed(state, query));
+        // What cold targets may get is used up at once while requests wait.
+        let any_warm = states().any(|state| !state.is_cold(now));
+        let states = states().filter(|state| !any_warm || !state.is_cold(now));
         let shortest = states.map(time_ms).fold(f64::INFINITY, f64::min);
         Duration::from_secs_f64(shortest.min(1e6) / 1e3)
     }
--- a/kwg-gate/tests/support/store_model.rs
+++ b/kwg-gate/tests/support/store_model.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use kwg_gate::{ServiceName, StoreRow, TargetEntry, TargetId};
+use kwg_gate::{ColdNotice, ServiceName, StoreRow, TargetEntry, TargetId};
 
 /// Time after which the kernel closes a connection whose probes are not answered.
 pub const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
@@ -131,5 +131,6 @@
         slots: 8,
         is_draining,
         born: 1,
+        cold: ColdNotice::default(),
     }
 }
--- a/kwg-gateway/src/traffic/attempt_guard.rs
+++ b/kwg-gateway/src/traffic/attempt_guard.rs
@@ -23,6 +23,8 @@
     part_since: Cell<Option<MonoTime>>,
     /// Number of its events.
     part_events: Cell<u64>,
+    /// Whether the request has been sent.
+    is_sent: Cell<bool>,
 }
 
 impl AttemptGuard {
@@ -34,6 +36,7 @@
             unread_tokens: Cell::new(prompt_tokens),
             part_since: Cell::default(),
             part_events: Cell::default(),
+            is_sent: Cell::default(),
         }
     }
 
@@ -54,6 +57,16 @@
         core.targets_mut().record_pace(self.target, events, span, now);
     }
 
+    /// Records that the request is sent now.
+    pub(crate) fn record_sent(&self) {
+        if !self.is_sent.replace(true) {
+            let now = self.state.clock.now();
+            if self.state.core.borrow_mut().targets_mut().record_sent(self.target, now) {
+                self.state.metrics.record_cold_sent();
+            }
+        }
+    }
+
     /// Records that the target has processed the prompt.
     pub(crate) fn record_prompt_read(&self) {
         let tokens = self.unread_tokens.replace(0);
@@ -68,6 +81,9 @@
         self.record_prompt_read();
         let service = {
             let mut core = self.state.core.borrow_mut();
+            if !self.is_sent.get() {
+                core.targets_mut().record_unsent(self.target);
+            }
             core.targets_mut().end_attempt(self.target);
             core.targets().entry(self.target).map(|entry| entry.service.clone())
         };
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -86,7 +86,7 @@
             };
             let now = self.state.clock.now();
             exchange.set_next_check(now + SILENCE_CHECK);
-            let Ok(request) = self.encode(&session, link.target, relay) else { continue };
+            let Ok(request) = self.encode(&session, &link, relay) else { continue };
             let handed = session.hand_over(&mut self.state.core.borrow_mut(), reserved, now);
             match handed {
                 Ok(handing_over) => {
@@ -113,7 +113,7 @@
     ) -> Result<TargetExchange<'a>, AttemptEvidence> {
         let target = session.placement().target;
         let link = self.open_link(session, target).await?;
-        let request = self.encode(session, target, relay)?;
+        let request = self.encode(session, &link, relay)?;
         Ok(TargetExchange::new(self.state, self.request_id, link, request))
     }
 
@@ -130,9 +130,10 @@
     fn encode(
         &self,
         session: &GateSession<Dispatched>,
-        target: TargetKey,
+        link: &TargetLink,
         relay: &AnswerRelay<'_>,
     ) -> Result<Vec<u8>, AttemptEvidence> {
+        let target = link.target;
         let core = self.state.core.borrow();
         let entry = core.targets().entry(target);
         let may_send = session.may_reach(&core, target, self.state.clock.now());
@@ -144,11 +145,14 @@
             resume_after: relay.last_event(),
             hides_key: self.hides_key,
         };
-        TargetCodec::encode(self.head, self.body, &call).map_err(|error| {
+        let request = TargetCodec::encode(self.head, self.body, &call).map_err(|error| {
             let line = EventLine::new("request-unwritable").field("id", self.request_id);
             log::warn!("{}", line.field("target", &entry.id).field("error", error));
             AttemptEvidence::NotSent
-        })
+        })?;
+        drop(core);
+        link.guard.record_sent();
+        Ok(request)
     }
 
     /// Reads the reply to its end and relays it, or until another target is reserved.
