Tests of crowds of misbehaving callers at a gateway process

Guard against a process that runs out of memory or descriptors, or answers no ordinary request, under callers that stop halfway. It asserts the peak of resident memory, the number of open descriptors, and that one ordinary request is answered beside the crowd and after it.

--- a/knapweedglade/tests/support/mod.rs
+++ b/knapweedglade/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts a gateway process in front of stand-ins and calls it.
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+pub mod crowd;
+
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
@@ -26,6 +28,16 @@
 /// Memory limit in the settings: that of the operators' smallest instances.
 pub const MEMORY_MB: u64 = 88;
 
+/// The limits of a gateway process in its settings.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessLimits {
+    pub memory_mb: u64,
+    pub descriptors: u64,
+}
+
+/// Limits of gateways unless a test sets others; the descriptors are the default of the settings.
+const USUAL_LIMITS: ProcessLimits = ProcessLimits { memory_mb: MEMORY_MB, descriptors: 1_024 };
+
 /// A store, runners and one gateway.
 pub struct TestFleet {
     pub store: StoreStandin,
@@ -76,7 +88,20 @@
         Self::start_with_grace(name, store, GRACE_SECS)
     }
 
+    pub fn start_with_limits(name: &str, store: &StoreStandin, limits: ProcessLimits) -> Self {
+        Self::start_with(name, store, GRACE_SECS, limits)
+    }
+
     pub fn start_with_grace(name: &str, store: &StoreStandin, grace_secs: u64) -> Self {
+        Self::start_with(name, store, grace_secs, USUAL_LIMITS)
+    }
+
+    fn start_with(
+        name: &str,
+        store: &StoreStandin,
+        grace_secs: u64,
+        limits: ProcessLimits,
+    ) -> Self {
         let folder =
             std::env::temp_dir().join(format!("kwg-gateway-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("writable");
@@ -87,7 +112,8 @@
             .expect("grows");
         writeln!(text, "metrics = {metrics}\npeer = {peer}\nstore = {}", store.address())
             .expect("grows");
-        writeln!(text, "memory_mb = {MEMORY_MB}").expect("grows");
+        let ProcessLimits { memory_mb, descriptors } = limits;
+        writeln!(text, "memory_mb = {memory_mb}\ndescriptors = {descriptors}").expect("grows");
         writeln!(text, "grace_s = {grace_secs}\n[domains]\ngraz = ost").expect("grows");
         let file = folder.join("gateway.ini");
         std::fs::write(&file, text).expect("writable");
@@ -124,6 +150,20 @@
         pages.expect("a number") * 4_096
     }
 
+    /// The highest resident memory of the process so far, in bytes.
+    pub fn peak_bytes(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(file).expect("the process runs");
+        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        peak.and_then(|peak| peak.trim().parse::<u64>().ok()).expect("a number") << 10
+    }
+
+    /// Number of open file descriptors of the process.
+    pub fn descriptor_count(&self) -> usize {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(folder).expect("the process runs").count()
+    }
+
     /// Stops all threads of the process. The signal alone may return before the last one stops, which
     /// may still read what arrives after it.
     pub fn pause(&self) {
