Owner of the memory and the connections of callers: CallerLedger

Cause: connections were kept first come, first kept, and only bodies had a budget, so a crowd of callers that stop halfway kept others out or filled the process. CallerLedger counts connections, bytes held for each and bytes of answers, and decides who makes room: what has stalled, silent connections, the largest partial request, idle connections; never a request that has arrived whole. CallerGuard and CallerBytes release on drop.

Ruled out: closing the youngest (a newcomer with a whole request is to be answered), and a limit that each byte renews (a trickle would keep its place); progress counts only once a window's bytes have moved.

The gateway does not ask it yet.

--- a/kwg-gate/src/lib.rs
+++ b/kwg-gate/src/lib.rs
@@ -23,8 +23,9 @@
 pub use gate_core::GateCore;
 pub use gate_options::GateOptions;
 pub use limit::{
-    FleetView, QueuePosition, QuotaOptions, QuotaTracker, RetryBudget, RetryBudgetOptions,
-    WaitQueue, WaitTracker,
+    CallerBytes, CallerGuard, CallerKey, CallerLedger, CallerOptions, CallerPhase, FleetView,
+    QueuePosition, QuotaOptions, QuotaTracker, RetryBudget, RetryBudgetOptions, WaitQueue,
+    WaitTracker,
 };
 pub use moves::{
     AnswerOutcome, MoveDecision, MoveEvidence, MoveOptions, MovePhase, MoveReport, MoveStage,
