Gateway: memory and connections of callers are bounded by one ledger

Cause: each read took 16 to 32 KB of buffer per waiting connection, bodies were held two or three times, what was sent ahead took up to 48 KB, the kernel's buffers grew without a bound, and the newest connection was turned away while silent ones stayed. The readiness port had no limit of connections, the metrics port served one connection at a time.

Change: CallerListener admits connections at all three ports through a CallerLedger; those that have stalled make place. Reads go through one scratch buffer for the thread; a connection's buffer is as long as its bytes. Bodies arrive in blocks of 4 KB and are not kept if the head decides 401, 404 or 413. At most 4 KB are read ahead of a running request, and a hang-up behind them is still noticed. Replies and bodies have a floor of 256 bytes a second over 10 s. A whole answer is sent after its target is released, also beyond the request's deadline. Heads are scanned once, not anew with each byte. The limits are settings of [callers], and ends are counted in kwg_gateway_caller_ends by reason and logged once a second for each.

Changed tests: the unit tests of front_connection, front_server, target_exchange and wait_notifier build their state with CallerOptions; front_server's count of open connections comes from the ledger. gateway_settings has a section more, which moves the line of its last case.

--- a/knapweedglade/tests/crowd_bodies.rs
+++ b/knapweedglade/tests/crowd_bodies.rs
@@ -71,6 +71,7 @@
 fn bodies_that_will_be_refused_are_not_held() {
     let site = CrowdSite::start("crowd-refused", MEMORY_LIMITS, SHORT_LIMIT);
     site.play("no route", |number| body_less_one("/nowhere/a", number, 60_000));
+    site.play("readiness path", |number| body_less_one("/knapweedglade/ready", number, 60_000));
     site.play("unknown key", |number| {
         let bytes = body_less_one("/scan/a", number, 60_000);
         String::from_utf8(bytes).expect("text").replace("key-1", "key-9").into_bytes()
--- a/knapweedglade/tests/support/crowd.rs
+++ b/knapweedglade/tests/support/crowd.rs
@@ -24,7 +24,7 @@
 /// How long an ordinary request is repeated until it is answered.
 pub const REPEAT_LIMIT: Duration = Duration::from_secs(6);
 /// Time limit for one write of a crowd's caller. A gateway that stops reading is no fault.
-const WRITE_LIMIT: Duration = Duration::from_millis(200);
+const WRITE_LIMIT: Duration = Duration::from_millis(20);
 
 /// Only one crowd runs at a time.
 static TURN: Mutex<()> = Mutex::new(());
--- a/kwg-gate/src/limit/caller_guard.rs
+++ b/kwg-gate/src/limit/caller_guard.rs
@@ -4,7 +4,7 @@
 
 use kwg_model::MonoTime;
 
-use super::{CallerKey, CallerLedger, CallerPhase};
+use super::{CallerBytes, CallerKey, CallerLedger, CallerOptions, CallerPhase};
 
 /// A caller's connection in a [`CallerLedger`]. The drop releases all that it holds.
 #[derive(Debug)]
@@ -44,6 +44,22 @@
         self.ledger.borrow_mut().hold(self.key, bytes, now)
     }
 
+    /// Counts bytes that the kernel holds for the connection, until the drop of what is returned. They are
+    /// there whether there is room for them or not.
+    #[must_use]
+    pub fn hold_kernel(&self, bytes: usize, now: MonoTime) -> CallerBytes {
+        let mut held = CallerBytes::new(&self.ledger);
+        // Whatever can be closed for them is closed.
+        held.hold(bytes, now);
+        held
+    }
+
+    /// The limits of all connections.
+    #[must_use]
+    pub fn options(&self) -> CallerOptions {
+        *self.ledger.borrow().options()
+    }
+
     /// Counts bytes of a request or an answer that have moved.
     pub fn record_progress(&self, bytes: usize, now: MonoTime) {
         self.ledger.borrow_mut().record_progress(self.key, bytes, now);
--- a/kwg-gate/src/limit/caller_options.rs
+++ b/kwg-gate/src/limit/caller_options.rs
@@ -42,7 +42,7 @@
     /// retransmissions in a row (0.2, 0.4 and 0.8 s).
     fn default() -> Self {
         Self {
-            memory_bytes: 35 << 20,
+            memory_bytes: 26 << 20,
             connections: 2_900,
             connection_bytes: 6 << 10,
             stall: Duration::from_secs(2),
--- a/kwg-gateway/src/control/control_thread.rs
+++ b/kwg-gateway/src/control/control_thread.rs
@@ -65,7 +65,9 @@
         }
         local.spawn(MoveHandler::new(&state).run(queued_tasks)).detach();
         match Async::new(self.metrics_listener) {
-            Ok(listener) => local.spawn(serve_metrics(listener, self.metrics)).detach(),
+            Ok(listener) => {
+                local.spawn(serve_metrics(listener, self.metrics, state.clock.clone())).detach()
+            }
             Err(error) => log::error!("event=listen-failed error=\"{error}\""),
         }
         let (joining, executor) = (Rc::clone(&state), Arc::clone(&shared));
--- a/kwg-gateway/src/gateway_metrics.rs
+++ b/kwg-gateway/src/gateway_metrics.rs
@@ -39,6 +39,9 @@
     refused_contents: Gauge,
     connects: Counter,
     answer_seconds: Histogram,
+    caller_ends: Family<NameLabel, Counter>,
+    callers_open: Gauge,
+    callers_bytes: Gauge,
 }
 
 impl GatewayMetrics {
@@ -70,6 +73,14 @@
         registry.register("connects", "New connections to targets", connects.clone());
         let help = "Time from a request's first byte to the end of its attempt";
         registry.register("answer_seconds", help, answer_seconds.clone());
+        let caller_ends = Family::default();
+        let callers_open = Gauge::default();
+        let callers_bytes = Gauge::default();
+        let help = "Connections of callers that were refused or closed, by reason";
+        registry.register("caller_ends", help, caller_ends.clone());
+        registry.register("callers_open", "Open connections of callers", callers_open.clone());
+        let help = "Bytes that are held for callers";
+        registry.register("callers_bytes", help, callers_bytes.clone());
         let registry = Arc::new(registry);
         Self {
             registry,
@@ -83,6 +94,9 @@
             refused_contents,
             connects,
             answer_seconds,
+            caller_ends,
+            callers_open,
+            callers_bytes,
         }
     }
 
@@ -125,6 +139,17 @@
         self.refused_contents.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a connection of a caller that was refused or closed.
+    pub(crate) fn record_caller_end(&self, reason: &str) {
+        self.caller_ends.get_or_create(&label(reason)).inc();
+    }
+
+    /// Sets what callers use at present.
+    pub(crate) fn set_callers(&self, open: usize, bytes: usize) {
+        self.callers_open.set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.callers_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
     }
--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -1,13 +1,23 @@
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncWriteExt, FutureExt};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 /// Size of one read, in bytes. An event of a stream is far smaller, a prompt a little larger.
 const READ_BYTES: usize = 16 << 10;
+/// Unit in which a buffer of received bytes grows, in bytes, so that bytes that come one by one don't
+/// have it allocated anew each time.
+const INBOX_STEP: usize = 512;
+/// Room that a buffer keeps beyond twice its bytes, in bytes.
+const INBOX_SLACK: usize = 2 << 10;
 /// TCP user timeout of connections that this instance opens, for short messages: how long sent bytes
 /// may stay unacknowledged. A path that loses packets recovers within a second; one that is silent for
 /// longer has failed.
@@ -26,6 +36,16 @@
 /// timeout above, a dead connection is closed at the second probe, after two seconds.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a connection with many bytes that are not read is asked whether it has been closed. A caller
+/// that has left must not keep a target at work.
+const HANGUP_CHECK: Duration = Duration::from_millis(250);
+
+thread_local! {
+    /// Where a read puts its bytes. They are copied into the connection's own buffer, which is then as
+    /// long as they are: thousands of connections that wait hold no buffers of the size of a read.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// A TCP connection with a buffer of bytes that have been read and not consumed.
 #[derive(Debug)]
 pub(crate) struct ByteSocket {
@@ -126,52 +146,76 @@
         self.inbox
     }
 
-    /// Removes the first `count` bytes from the buffer.
+    /// Bytes of memory that the buffer takes.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        self.inbox.capacity()
+    }
+
+    /// Removes the first `count` bytes from the buffer, and the room that the rest does not need.
     pub(crate) fn consume(&mut self, count: usize) {
         self.inbox.drain(..count);
+        if self.inbox.is_empty() {
+            *self.inbox = Vec::new();
+        } else if self.inbox.capacity() > 2 * self.inbox.len() + INBOX_SLACK {
+            self.inbox.shrink_to_fit();
+        }
     }
 
     /// Reads more bytes into the buffer; returns 0 at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.fill_up_to(READ_BYTES).await
+    }
+
+    /// Reads at most `limit` more bytes into the buffer; returns 0 at the end of the stream. It can be
+    /// cancelled.
+    pub(crate) async fn fill_up_to(&mut self, limit: usize) -> io::Result<usize> {
         // A peer that sends faster than its bytes are processed must not keep timers and other
         // tasks waiting. The pause is before a read, since one after it would let a timer that has
         // run out meanwhile win over the bytes that were read.
         if std::mem::take(self.has_more) {
             yield_now().await;
         }
-        let before = self.inbox.len();
-        self.inbox.resize(before + READ_BYTES, 0);
-        let mut guard = TruncateGuard { inbox: self.inbox, length: before };
-        let count = (&mut &*self.stream).read(&mut guard.inbox[before..]).await?;
-        guard.length += count;
-        drop(guard);
-        *self.has_more = count == READ_BYTES;
+        let limit = limit.clamp(1, READ_BYTES);
+        let (mut stream, inbox) = (self.stream, &mut *self.inbox);
+        let count = poll_fn(|context| {
+            SCRATCH.with_borrow_mut(|scratch| {
+                let scratch = &mut scratch[..limit];
+                let count = ready!(Pin::new(&mut stream).poll_read(context, scratch))?;
+                if inbox.capacity() - inbox.len() < count {
+                    inbox.reserve_exact(count.next_multiple_of(INBOX_STEP));
+                }
+                inbox.extend_from_slice(&scratch[..count]);
+                Poll::Ready(io::Result::Ok(count))
+            })
+        })
+        .await?;
+        *self.has_more = count == limit;
         Ok(count)
     }
 
-    /// Waits until the peer has closed the connection or reading fails; calls `on_bytes` after each
-    /// read. Stops reading at `limit` buffered bytes and then never returns; the rest stays in the
-    /// kernel's buffer.
-    pub(crate) async fn wait_closed(&mut self, limit: usize, on_bytes: impl Fn()) {
+    /// Waits until the peer has closed the connection or reading fails; calls `on_bytes` with the
+    /// number of buffered bytes after each read. Stops reading at `limit` buffered bytes; the rest stays in
+    /// the kernel's buffer, and the connection is asked from time to time whether it has been closed.
+    pub(crate) async fn wait_closed(&mut self, limit: usize, on_bytes: impl Fn(usize)) {
         while self.inbox.len() < limit {
-            if !matches!(self.fill().await, Ok(count) if count > 0) {
+            let room = limit - self.inbox.len();
+            if !matches!(self.fill_up_to(room).await, Ok(count) if count > 0) {
                 return;
             }
-            on_bytes();
+            on_bytes(self.inbox.len());
+        }
+        // The poller tells only that there is something to read.
+        while !self.is_hung_up() {
+            Timer::after(HANGUP_CHECK).await;
         }
-        std::future::pending::<()>().await;
     }
-}
-
-/// Truncates the buffer to the bytes read, even if the read is cancelled.
-struct TruncateGuard<'a> {
-    inbox: &'a mut Vec<u8>,
-    length: usize,
-}
 
-impl Drop for TruncateGuard<'_> {
-    fn drop(&mut self) {
-        self.inbox.truncate(self.length);
+    /// Whether the peer has closed its direction, also if there are bytes before the end.
+    fn is_hung_up(&self) -> bool {
+        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut polled = [PollFd::new(self.stream, ends)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        matches!(poll(&mut polled, Some(&now)), Ok(1..)) && polled[0].revents().intersects(ends)
     }
 }
 
@@ -186,11 +230,16 @@
     /// continued.
     pub(crate) async fn write_rest(self, bytes: &[u8], written: &mut usize) -> io::Result<()> {
         while *written < bytes.len() {
-            match (&mut &*self.0).write(&bytes[*written..]).await? {
-                0 => return Err(io::ErrorKind::WriteZero.into()),
-                count => *written += count,
-            }
+            *written += self.write_part(&bytes[*written..]).await?;
         }
         Ok(())
     }
+
+    /// Writes some of the bytes, at least one; returns how many.
+    pub(crate) async fn write_part(self, bytes: &[u8]) -> io::Result<usize> {
+        match (&mut &*self.0).write(bytes).await? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            count => Ok(count),
+        }
+    }
 }
--- a/kwg-gateway/src/traffic/answer_relay.rs
+++ b/kwg-gateway/src/traffic/answer_relay.rs
@@ -5,12 +5,15 @@
 use kwg_h1::{BodyFraming, HeadWriter, ReplyHead};
 
 use super::event_splitter::{EventSplitter, EventTooLong};
-use crate::socket::SocketWriter;
+use crate::socket::PacedWriter;
+
+/// Length of a body up to which it is copied behind its head, in bytes, so that both go out in one packet.
+const MAX_JOINED: usize = 16 << 10;
 
 /// Writes the answer of one request to its caller.
 #[derive(Debug)]
 pub(crate) struct AnswerRelay<'a> {
-    writer: SocketWriter<'a>,
+    writer: PacedWriter<'a>,
     /// Whether the caller allows the connection to be kept, and once the answer has begun, whether
     /// its head says so.
     keeps_alive: bool,
@@ -43,7 +46,7 @@
 
 impl<'a> AnswerRelay<'a> {
     pub(crate) fn new(
-        writer: SocketWriter<'a>,
+        writer: PacedWriter<'a>,
         keeps_alive: bool,
         is_stopping: &'a Cell<bool>,
         has_next: &'a Cell<bool>,
@@ -90,6 +93,11 @@
     ) -> Result<(), CallerDisconnected> {
         let keeps_alive = self.begin();
         let mut bytes = CallerCodec::encode_answer_head(head, Some(body.len()), keeps_alive);
+        self.writer.begin_reply();
+        if body.len() > MAX_JOINED {
+            self.write(&bytes).await?;
+            return self.write(body).await;
+        }
         bytes.extend_from_slice(body);
         self.write(&bytes).await
     }
@@ -101,6 +109,7 @@
             BodyFraming::Chunked | BodyFraming::UntilClose => None,
         };
         let bytes = CallerCodec::encode_answer_head(head, length, self.begin());
+        self.writer.begin_reply();
         self.write(&bytes).await
     }
 
@@ -138,6 +147,7 @@
         let rest = self.splitter.take_rest();
         HeadWriter::write_chunk(&rest, &mut out);
         out.extend_from_slice(HeadWriter::LAST_CHUNK);
+        self.writer.begin_reply();
         self.write(&out).await
     }
 
@@ -157,6 +167,7 @@
             return Err(CallerDisconnected);
         }
         let bytes = CallerCodec::encode_outcome(outcome, request_id, self.begin());
+        self.writer.begin_reply();
         self.write(&bytes).await
     }
 
@@ -169,7 +180,7 @@
     }
 
     async fn write(&self, bytes: &[u8]) -> Result<(), CallerDisconnected> {
-        self.writer.write(bytes).await.map_err(|(_, error)| {
+        self.writer.write(bytes).await.map_err(|error| {
             log::debug!("event=caller-lost error={error}");
             CallerDisconnected
         })
--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -4,7 +4,9 @@
 
 use futures_lite::FutureExt;
 use kwg_adapter::{OutgoingCall, ReplyKind, TargetCodec};
-use kwg_gate::{AttemptEvidence, Dispatched, GateSession, RequestKind, ReservedTarget, TargetKey};
+use kwg_gate::{
+    AttemptEvidence, AttemptSample, Dispatched, GateSession, RequestKind, ReservedTarget, TargetKey,
+};
 use kwg_h1::{ReplyHead, RequestHead};
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
@@ -48,6 +50,8 @@
 enum AttemptStep {
     /// The reply has been read.
     Ended(AttemptReport),
+    /// The whole answer has been read, and nothing of it has been sent to the caller.
+    Whole(ReplyHead, CountedBody, AttemptSample),
     /// The target is silent, and another one is reserved and connected.
     Reserved(ReservedTarget, TargetLink),
 }
@@ -81,6 +85,19 @@
                     exchange.finish();
                     return (session, report);
                 }
+                Ok(AttemptStep::Whole(head, whole, sample)) => {
+                    // A caller that reads slowly takes neither the slot nor the time of the target.
+                    exchange.finish();
+                    let sent = match self.head.method != "HEAD" {
+                        true => relay.send_whole(&head, whole.bytes()).await,
+                        false => relay.send_head(&head).await,
+                    };
+                    let report = match sent {
+                        Ok(()) => AttemptReport::Answered(sample),
+                        Err(_) => AttemptReport::CallerDisconnected,
+                    };
+                    return (session, report);
+                }
                 Ok(AttemptStep::Reserved(reserved, link)) => (reserved, link),
                 Err(stop) => return (session, stop.into()),
             };
@@ -182,11 +199,8 @@
                 if kind == ReplyKind::Failure {
                     return Ok(AttemptStep::Ended(AttemptReport::Failed(head, whole)));
                 }
-                match has_body {
-                    true => relay.send_whole(&head, whole.bytes()).await?,
-                    false => relay.send_head(&head).await?,
-                }
-                AttemptReport::Answered(exchange.sample(session.tokens_per_event()))
+                let sample = exchange.sample(session.tokens_per_event());
+                return Ok(AttemptStep::Whole(head, whole, sample));
             }
             (ReplyKind::Declined, _) => {
                 exchange.skip_rest(&head).await;
--- a/kwg-gateway/src/traffic/traffic_state.rs
+++ b/kwg-gateway/src/traffic/traffic_state.rs
@@ -3,12 +3,16 @@
 
 use kwg_adapter::TargetCodec;
 use kwg_clock::ClockHandle;
-use kwg_gate::{CallerLimits, GateCore, LONGEST_PAUSE, StandingSource, StandingState, TargetKey};
+use kwg_gate::{
+    CallerLedger, CallerLimits, CallerOptions, GateCore, LONGEST_PAUSE, StandingSource,
+    StandingState, TargetKey,
+};
 use kwg_h1::ReplyHead;
 use kwg_model::MonoTime;
 use kwg_telemetry::EventLine;
 
 use super::connection_pool::ConnectionPool;
+use super::front_log::FrontLog;
 use super::stop_signal::StopSignal;
 use super::wait_notifier::WaitNotifier;
 use crate::gateway_metrics::GatewayMetrics;
@@ -27,12 +31,9 @@
     /// Set by [`TrafficInput::CloseIdle`](crate::gateway_pipes::TrafficInput::CloseIdle): further
     /// requests are refused.
     pub(crate) is_front_closed: Cell<bool>,
-    /// Number of open connections of callers.
-    pub(crate) open_connections: Cell<usize>,
-    /// Bytes of all bodies of requests and answers that are held in memory.
-    pub(crate) body_bytes: Cell<usize>,
-    pub(crate) max_connections: usize,
-    pub(crate) max_body_bytes: usize,
+    /// The memory and the connections that callers use.
+    pub(crate) callers: Rc<RefCell<CallerLedger>>,
+    pub(crate) front_log: FrontLog,
     /// When every request must have its outcome; none while the instance does not stop.
     pub(crate) end: Cell<Option<MonoTime>>,
     close_idle: StopSignal,
@@ -44,8 +45,7 @@
         core: GateCore,
         clock: ClockHandle,
         metrics: GatewayMetrics,
-        max_connections: usize,
-        max_body_bytes: usize,
+        callers: CallerOptions,
     ) -> Rc<Self> {
         Rc::new(Self {
             core: RefCell::new(core),
@@ -55,10 +55,8 @@
             metrics,
             is_stopping: Cell::new(false),
             is_front_closed: Cell::new(false),
-            open_connections: Cell::new(0),
-            body_bytes: Cell::new(0),
-            max_connections,
-            max_body_bytes,
+            callers: Rc::new(RefCell::new(CallerLedger::new(callers))),
+            front_log: FrontLog::default(),
             end: Cell::new(None),
             close_idle: StopSignal::new(),
             end_requests: StopSignal::new(),
@@ -100,6 +98,12 @@
         }
     }
 
+    /// Updates the metrics of what callers use.
+    pub(crate) fn record_callers(&self) {
+        let callers = self.callers.borrow();
+        self.metrics.set_callers(callers.open_count(), callers.held_bytes());
+    }
+
     /// Whether load balancers should route new connections to this instance.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.core.borrow().is_ready(self.clock.now())
--- a/kwg-gateway/src/traffic/traffic_thread.rs
+++ b/kwg-gateway/src/traffic/traffic_thread.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, block_on};
 use futures_lite::FutureExt;
 use kwg_clock::ClockHandle;
-use kwg_gate::{GateCore, MoveDecision, MovePhase, ServiceName, StandingSource};
+use kwg_gate::{CallerLedger, GateCore, MoveDecision, MovePhase, ServiceName, StandingSource};
 use kwg_settings::GatewaySettings;
 use kwg_telemetry::EventLine;
 use rand::random;
@@ -22,8 +22,6 @@
 /// How often this instance's load is reported to peers: a fraction of the time for which a
 /// request holds a slot.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
-/// File descriptors reserved for targets, peers, the store and files.
-const RESERVED_DESCRIPTORS: u64 = 1_200;
 
 /// How often a draining instance checks whether the last connection has closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -46,15 +44,12 @@
 
 impl TrafficThread {
     /// Serves requests until [`TrafficInput::CloseIdle`] has been received and all connections have
-    /// closed. Buffered bodies may hold a quarter of the process's memory limit.
+    /// closed.
     pub(crate) fn run(self) {
         let mut core = GateCore::new(self.settings.gate.clone());
         core.begin_joining(self.clock.now());
-        let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(32);
-        let max_body_bytes = usize::try_from(self.settings.memory_bytes / 4).unwrap_or(usize::MAX);
-        let max_connections = usize::try_from(descriptors).unwrap_or(usize::MAX);
-        let state =
-            TrafficState::new(core, self.clock, self.metrics, max_connections, max_body_bytes);
+        let callers = self.settings.callers;
+        let state = TrafficState::new(core, self.clock, self.metrics, callers.front);
         let executor = Rc::new(LocalExecutor::new());
         let (front, ready) = match (Async::new(self.front), Async::new(self.ready)) {
             (Ok(front), Ok(ready)) => (front, ready),
@@ -65,7 +60,8 @@
         };
         let server = FrontServer { state: Rc::clone(&state), listener: front };
         let accepting = executor.spawn(server.run(Rc::clone(&executor)));
-        let server = ReadyServer { state: Rc::clone(&state), listener: ready };
+        let ledger = CallerLedger::new(callers.ready);
+        let server = ReadyServer { state: Rc::clone(&state), listener: ready, ledger };
         executor.spawn(server.run(Rc::clone(&executor))).detach();
         executor.spawn(publish_reports(Rc::clone(&state), self.run_id, self.reports)).detach();
         block_on(executor.run(async {
@@ -74,7 +70,7 @@
             // The kernel refuses further callers, so that they try another instance at once.
             accepting.await;
             let drained = async {
-                while state.open_connections.get() > 0 {
+                while state.callers.borrow().open_count() > 0 {
                     state.clock.sleep(DRAIN_CHECK_INTERVAL).await;
                 }
             };
@@ -129,7 +125,7 @@
         TrafficInput::Stop(end) => {
             state.is_stopping.set(true);
             state.end.set(Some(end));
-            log::info!("event=stopping open={}", state.open_connections.get());
+            log::info!("event=stopping open={}", state.callers.borrow().open_count());
             core.set_end(end);
             drop(core);
             WaitNotifier::wake_all(state);
@@ -168,6 +164,7 @@
         state.clock.sleep(DIGEST_INTERVAL).await;
         let now = state.clock.now();
         state.pool.borrow_mut().close_expired(now);
+        state.record_callers();
         state.review_suspects();
         let mut core = state.core.borrow_mut();
         for peer in core.drop_silent_peers(now) {
--- a/kwg-gateway/tests/unit/target_exchange.rs
+++ b/kwg-gateway/tests/unit/target_exchange.rs
@@ -6,7 +6,7 @@
 
 use async_io::{Timer, block_on};
 use kwg_clock::ClockHandle;
-use kwg_gate::{AttemptEvidence, GateCore, GateOptions, TargetKey};
+use kwg_gate::{AttemptEvidence, CallerOptions, GateCore, GateOptions, TargetKey};
 
 use super::{TargetExchange, TargetLink};
 use crate::gateway_metrics::GatewayMetrics;
@@ -32,7 +32,7 @@
 fn a_request_whose_target_closed_the_connection_before_it_is_reported_as_not_sent() {
     let core = GateCore::new(GateOptions::default());
     let (clock, metrics) = (ClockHandle::system(), GatewayMetrics::new());
-    let state = TrafficState::new(core, clock, metrics, 10, 1 << 20);
+    let state = TrafficState::new(core, clock, metrics, CallerOptions::default());
     let read = block_on(async {
         let link = open_closed(&state).await;
         let request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n".to_vec();
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -9,9 +9,9 @@
 use futures_lite::future::poll_once;
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    Admitted, AttemptEvidence, CallerLimits, DomainMap, EngineRule, GateCore, GateOptions,
-    GateSession, InstanceMap, PlacementOutcome, Received, RequestDetails, RequestKind, RoutePool,
-    RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep, TargetEntry, TargetId,
+    Admitted, AttemptEvidence, CallerLimits, CallerOptions, DomainMap, EngineRule, GateCore,
+    GateOptions, GateSession, InstanceMap, PlacementOutcome, Received, RequestDetails, RequestKind,
+    RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep, TargetEntry, TargetId,
     TargetRegistry,
 };
 use kwg_model::MonoTime;
@@ -98,7 +98,7 @@
     let first = admit(&mut core, "first", now);
     let later = admit(&mut core, "later", now);
     let service = first.service().clone();
-    let state = TrafficState::new(core, clock, GatewayMetrics::new(), 10, 1 << 20);
+    let state = TrafficState::new(core, clock, GatewayMetrics::new(), CallerOptions::default());
     let limit = now + Duration::from_secs(50);
     let mut again = pin!(WaitNotifier::wait(&state, &again, limit));
     let mut first = pin!(WaitNotifier::wait(&state, &first, limit));
--- a/kwg-settings/src/gateway_settings.rs
+++ b/kwg-settings/src/gateway_settings.rs
@@ -7,7 +7,7 @@
 use kwg_model::InstanceName;
 use log::LevelFilter;
 
-use crate::{CheckedIni, IniError};
+use crate::{CallerSettings, CheckedIni, IniError};
 
 /// The settings of a gateway process.
 #[derive(Debug, Clone)]
@@ -30,6 +30,8 @@
     pub memory_bytes: u64,
     /// Limit of open file descriptors.
     pub descriptors: u64,
+    /// Limits of what callers use.
+    pub callers: CallerSettings,
     /// Domains, retry budget, quota tolerances and options of version moves.
     pub gate: GateOptions,
     /// The least severe level of log lines that is written.
@@ -101,6 +103,8 @@
         if !(0.0..=1e6).contains(&moves.exposure_requests) {
             return Err(section.invalid("exposure_requests", "is not between 0 and 1000000"));
         }
+        let memory_bytes = gateway.number("memory_mb", 16..=1_000_000, Some(256))? << 20;
+        let descriptors = gateway.number("descriptors", 64..=10_000_000, Some(1_024))?;
         let settings = Self {
             name: gateway.convert("name", None, |text| InstanceName::new(text))?,
             front: gateway.value("front", None)?,
@@ -109,8 +113,9 @@
             peer: gateway.value("peer", None)?,
             store: gateway.value("store", None)?,
             grace: gateway.duration("grace_s", 1..=3_600, Duration::from_secs(8))?,
-            memory_bytes: gateway.number("memory_mb", 16..=1_000_000, Some(256))? << 20,
-            descriptors: gateway.number("descriptors", 64..=10_000_000, Some(1_024))?,
+            memory_bytes,
+            descriptors,
+            callers: CallerSettings::read(ini.section("callers"), memory_bytes, descriptors)?,
             gate: GateOptions {
                 domains: DomainMap { own, regions },
                 retry,
--- a/kwg-settings/src/lib.rs
+++ b/kwg-settings/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod caller_settings;
 mod checked_ini;
 mod gateway_settings;
 mod ini_error;
@@ -12,6 +13,7 @@
 mod section_reader;
 mod table_files;
 
+pub use caller_settings::CallerSettings;
 pub use checked_ini::CheckedIni;
 pub use gateway_settings::GatewaySettings;
 pub use ini_error::IniError;
--- a/kwg-settings/tests/gateway_settings.rs
+++ b/kwg-settings/tests/gateway_settings.rs
@@ -27,6 +27,13 @@
 [version moves]
 exposure_share = 0.2
 exposure_requests = 30
+[callers]
+memory_percent = 20
+reserved_descriptors = 400
+ready_connections = 16
+stall_ms = 1500
+floor_bytes_s = 100
+floor_window_ms = 5000
 [log]
 level = debug
 ";
@@ -44,6 +51,29 @@
     assert!((settings.gate.moves.exposure_share - 0.2).abs() < f64::EPSILON);
     assert!((settings.gate.moves.exposure_requests - 30.0).abs() < f64::EPSILON);
     assert_eq!(settings.gate.domains.regions["ibk"], "west");
+    let front = settings.callers.front;
+    // A fifth of 256 MB, and 1,024 descriptors less 400.
+    assert_eq!((front.memory_bytes, front.connections), (53_687_080, 624));
+    assert_eq!((front.stall, front.window_bytes()), (Duration::from_millis(1_500), 500));
+    assert_eq!(settings.callers.ready.connections, 16);
+}
+
+#[test]
+fn callers_get_what_the_smallest_instances_have_less_the_reserve() {
+    let with = |limits: &str| {
+        let text = VALID.replace("grace_s = 9", limits);
+        let from = text.find("[callers]").expect("the section");
+        let to = text.find("[log]").expect("the section");
+        let text = format!("{}{}", &text[..from], &text[to..]);
+        GatewaySettings::parse("g.ini", &text).expect("valid").callers
+    };
+    let smallest = with("memory_mb = 88\ndescriptors = 4100");
+    assert_eq!(smallest.front.memory_bytes, 27_682_380);
+    assert_eq!((smallest.front.connections, smallest.ready.connections), (2_900, 64));
+    // Each connection and one short request of each fit into the memory.
+    assert!(smallest.front.connection_bytes * 2_900 < smallest.front.memory_bytes);
+    let tiny = with("memory_mb = 16\ndescriptors = 64");
+    assert_eq!((tiny.front.connections, tiny.ready.connections), (32, 4));
 }
 
 #[test]
@@ -76,7 +106,37 @@
             "exposure_requests = -1",
             "g.ini:22: 'exposure_requests' in [version moves]: is not between 0 and 1000000",
         ),
-        ("[log]", "[logs]", "g.ini:23: unknown section [logs]"),
+        (
+            "memory_percent = 20",
+            "memory_percent = 61",
+            "g.ini:24: 'memory_percent' in [callers]: 61 is not between 5 and 60",
+        ),
+        (
+            "reserved_descriptors = 400",
+            "reserved_descriptors = 31",
+            "g.ini:25: 'reserved_descriptors' in [callers]: 31 is not between 32 and 1000000",
+        ),
+        (
+            "ready_connections = 16",
+            "ready_connections = 3",
+            "g.ini:26: 'ready_connections' in [callers]: 3 is not between 4 and 10000",
+        ),
+        (
+            "stall_ms = 1500",
+            "stall_ms = 199",
+            "g.ini:27: 'stall_ms' in [callers]: 199 is not between 200 and 60000",
+        ),
+        (
+            "floor_bytes_s = 100",
+            "floor_bytes_s = 0",
+            "g.ini:28: 'floor_bytes_s' in [callers]: 0 is not between 1 and 65536",
+        ),
+        (
+            "floor_window_ms = 5000",
+            "floor_window_s = 5",
+            "g.ini:29: unknown key 'floor_window_s' in [callers]",
+        ),
+        ("[log]", "[logs]", "g.ini:30: unknown section [logs]"),
     ];
     for (from, to, expected) in cases {
         assert_eq!(error_of(&VALID.replace(from, to)), expected);
