--- a/knapweedglade/tests/crowd_answers.rs
+++ b/knapweedglade/tests/crowd_answers.rs
@@ -9,6 +9,7 @@
 
 use kwg_standin::RunnerMode;
 use support::crowd::{CROWD, Crowd, CrowdSite, DESCRIPTOR_LIMITS, MEMORY_LIMITS, head};
+use support::wait_until;
 
 /// Length of a long answer, in bytes: more than the kernel's buffers hold at the limits of the gateway.
 const ANSWER_BYTES: usize = 400_000;
@@ -59,6 +60,41 @@
     site.assert_sound("after the crowd");
 }
 
+#[test]
+fn a_caller_that_leaves_behind_many_requests_sent_ahead_is_noticed() {
+    let site = CrowdSite::start("crowd-left", MEMORY_LIMITS, 65_536);
+    site.fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::Hang));
+    // More than is read ahead, and less than the window: the end of the connection arrives behind it.
+    let call = |number| {
+        let first = head("/open/a", number, "Content-Length: 0\r\n");
+        [first.into_bytes(), get(number).repeat(200)].concat()
+    };
+    let before = site.fleet.runs();
+    let crowd = Crowd::send(site.fleet.gateway.front, 4, call);
+    wait_until("the first requests run", || site.fleet.runs() == before + 4);
+    drop(crowd);
+    let abandoned = || site.fleet.runners.iter().map(|runner| runner.abandoned()).sum::<u32>();
+    wait_until("the runners are told", || abandoned() == 4);
+}
+
+#[test]
+fn whole_requests_that_wait_for_a_target_are_bounded() {
+    let site = CrowdSite::start("crowd-waiting", MEMORY_LIMITS, 72_000);
+    let set = |mode: RunnerMode| site.fleet.runners.iter().for_each(|runner| runner.set_mode(mode));
+    set(RunnerMode::SlowAnswer(2_000));
+    let whole = |number| {
+        let head = head("/scan/a", number, "Content-Length: 70000\r\n");
+        [head.into_bytes(), vec![b'a'; 70_000]].concat()
+    };
+    let crowd = Crowd::send(site.fleet.gateway.front, CROWD, whole);
+    site.assert_bounded("waiting requests");
+    thread::sleep(Duration::from_millis(600));
+    site.assert_bounded("waiting requests, a while later");
+    set(RunnerMode::Answer);
+    drop(crowd);
+    site.assert_sound("waiting requests, after the crowd");
+}
+
 #[test]
 fn half_closed_connections_do_not_keep_others_out() {
     let site = CrowdSite::start("crowd-half", DESCRIPTOR_LIMITS, 65_536);
--- a/knapweedglade/tests/crowd_sound.rs
+++ b/knapweedglade/tests/crowd_sound.rs
@@ -9,7 +9,7 @@
 
 use kwg_standin::RunnerMode;
 use support::crowd::{CrowdSite, MEMORY_LIMITS, head};
-use support::{read_answer, request};
+use support::{read_answer, request, wait_begun};
 
 fn connect(site: &CrowdSite) -> TcpStream {
     let stream = TcpStream::connect(site.fleet.gateway.front).expect("listening");
@@ -62,6 +62,20 @@
     assert_eq!(read_answer(&mut stream).status, 200, "0: no answer");
 }
 
+#[test]
+fn a_reader_that_pauses_for_seconds_gets_the_whole_stream() {
+    let site = CrowdSite::start("sound-stream", MEMORY_LIMITS, 65_536);
+    let slow = RunnerMode::SlowStream(400);
+    site.fleet.runners.iter().for_each(|runner| runner.set_mode(slow));
+    let mut stream = connect(&site);
+    let call = request("POST", "/stream/draft/a", "pause");
+    let call = call.replace("Deadline-Ms: 3000", "Deadline-Ms: 15000");
+    stream.write_all(call.as_bytes()).expect("open");
+    wait_begun(&stream);
+    thread::sleep(Duration::from_secs(4));
+    read_answer(&mut stream).assert_whole_stream();
+}
+
 #[test]
 fn a_reader_that_pauses_for_seconds_gets_the_whole_answer() {
     let site = CrowdSite::start("sound-reader", MEMORY_LIMITS, 65_536);
