--- a/kwg-gate/tests/support/speed_fleet.rs
+++ b/kwg-gate/tests/support/speed_fleet.rs
@@ -86,7 +86,7 @@
             slots: engine.slots as u32,
             is_draining: false,
             born: 1,
-            cold: None,
+            cold: kwg_gate::ColdNotice::default(),
         });
         registry.replace(1, entries, MonoTime::ZERO);
         let domains: BTreeMap<_, _> = [("d".to_owned(), names.clone())].into();
--- a/kwg-gateway/tests/unit/wait_notifier.rs
+++ b/kwg-gateway/tests/unit/wait_notifier.rs
@@ -9,10 +9,10 @@
 use futures_lite::future::poll_once;
 use kwg_clock::ClockHandle;
 use kwg_gate::{
-    Admitted, AttemptEvidence, CallerLimits, ColdNotice, DomainMap, EngineRule, GateCore,
-    GateOptions, GateSession, InstanceMap, PlacementOutcome, Received, RegionBound, RequestDetails,
-    RequestKind, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule, SessionStep,
-    TargetEntry, TargetId, TargetRegistry,
+    Admitted, AttemptEvidence, CallerLimits, CallerOptions, ColdNotice, DomainMap, EngineRule,
+    GateCore, GateOptions, GateSession, InstanceMap, PlacementOutcome, Received, RegionBound,
+    RequestDetails, RequestKind, RoutePool, RouteRule, RouteTable, ServiceName, ServiceRule,
+    SessionStep, TargetEntry, TargetId, TargetRegistry,
 };
 use kwg_model::MonoTime;
 
@@ -118,7 +118,7 @@
     let first = admit(&mut core, "first", now);
     let later = admit(&mut core, "later", now);
     let service = first.service().clone();
-    let state = TrafficState::new(core, clock, GatewayMetrics::new(), 10, 1 << 20);
+    let state = TrafficState::new(core, clock, GatewayMetrics::new(), CallerOptions::default());
     let limit = now + Duration::from_secs(50);
     let mut again = pin!(WaitNotifier::wait(&state, &again, limit));
     let mut first = pin!(WaitNotifier::wait(&state, &first, limit));
@@ -143,7 +143,7 @@
     let bound = admit_at(&mut core, "bound", "/bound/", now);
     let first = admit(&mut core, "first", now);
     let service = first.service().clone();
-    let state = TrafficState::new(core, clock, GatewayMetrics::new(), 10, 1 << 20);
+    let state = TrafficState::new(core, clock, GatewayMetrics::new(), CallerOptions::default());
     let limit = now + Duration::from_secs(50);
     let mut bound = pin!(WaitNotifier::wait(&state, &bound, limit));
     let mut first = pin!(WaitNotifier::wait(&state, &first, limit));
