--- a/kwg-gate/src/target/learned_mean.rs
+++ b/kwg-gate/src/target/learned_mean.rs
@@ -53,6 +53,9 @@
 
     /// The part of the weight that is left after a time.
     pub(crate) fn remainder(self, age: Duration) -> f64 {
-        (-age.as_secs_f64() / self.half_life.as_secs_f64()).exp2()
+        let exponent = std::f64::consts::LN_2 * age.as_secs_f64() / self.half_life.as_secs_f64();
+        // The first terms of the series of e^x: near enough for a weight, and quick, since it is computed for each
+        // report of each target.
+        1.0 / (1.0 + exponent * (1.0 + exponent / 2.0 * (1.0 + exponent / 3.0)))
     }
 }
--- a/kwg-gate/src/target/target_speed.rs
+++ b/kwg-gate/src/target/target_speed.rs
@@ -167,8 +167,15 @@
         let [mut step, mut read, mut hold, mut gap] =
             [self.step_ms, self.read_ms, self.hold_ms, self.gap_ms].map(PooledMean::new);
         for (report, age) in reports {
-            let (steps, answers) = (self.step_ms.remainder(age), self.hold_ms.remainder(age));
-            step.add(f64::from(report.step_us) / 1e3, report.step_weight, steps);
+            if report.step_weight > 0 {
+                let remainder = self.step_ms.remainder(age);
+                step.add(f64::from(report.step_us) / 1e3, report.step_weight, remainder);
+            }
+            // Most instances have sent nothing to a target in the last seconds.
+            if report.read_weight | report.hold_weight | report.gap_weight == 0 {
+                continue;
+            }
+            let answers = self.hold_ms.remainder(age);
             let read_ms = (f64::from(report.read_ns) / 1e6).min(MAX_READ_MS);
             read.add(read_ms, report.read_weight, answers);
             hold.add(f64::from(report.hold_ms), report.hold_weight, answers);
--- a/kwg-gate/src/target/target_state.rs
+++ b/kwg-gate/src/target/target_state.rs
@@ -42,6 +42,10 @@
     pub(crate) speed: TargetSpeed,
     /// The last report of each peer and its arrival time.
     pub(crate) reports: HashMap<String, (MonoTime, TargetReport)>,
+    /// Number of requests in `reports` that run on the target.
+    reported_running: u32,
+    /// Prompt tokens in `reports` that the target has not read.
+    reported_unread: u64,
     /// The other instances that own slots, and how many.
     owners: Vec<(String, u32)>,
 }
@@ -108,6 +112,8 @@
             bad: 0,
             speed,
             reports: HashMap::new(),
+            reported_running: 0,
+            reported_unread: 0,
             owners: Vec::new(),
         }
     }
@@ -115,8 +121,7 @@
     /// Number of requests that run on the target: this instance's, plus those in the other
     /// instances' last reports.
     pub(crate) fn load(&self) -> u32 {
-        self.running
-            + self.reports.values().map(|(_, report)| u32::from(report.running)).sum::<u32>()
+        self.running + self.reported_running
     }
 
     /// Whether this instance may take a free slot for one more request.
@@ -211,8 +216,7 @@
 
     /// Prompt tokens of all instances' requests that the target has not read yet.
     pub(crate) fn waiting_tokens(&self) -> u64 {
-        let reported = self.reports.values().map(|(_, report)| u64::from(report.unread_tokens));
-        self.unread_tokens + reported.sum::<u64>()
+        self.unread_tokens + self.reported_unread
     }
 
     /// Mean time per token of an answer, in milliseconds, in batches of recent size.
@@ -278,15 +282,18 @@
             self.standing.record_peer(now);
         }
         match (self.reports.get_mut(peer), report) {
-            (Some((at, before)), report) => {
+            (Some((at, last)), report) => {
                 let report = report.unwrap_or_default();
-                let good = report.good.saturating_sub(before.good);
-                let bad = report.bad.saturating_sub(before.bad);
-                (*at, *before) = (now, report);
+                let good = report.good.saturating_sub(last.good);
+                let bad = report.bad.saturating_sub(last.bad);
+                let before = std::mem::replace(last, report);
+                *at = now;
+                self.count_report(&before, &report);
                 self.health.record_reported(good, bad, now);
             }
             (None, Some(report)) => {
                 self.reports.insert(peer.to_owned(), (now, report));
+                self.count_report(&TargetReport::default(), &report);
             }
             (None, None) => return,
         }
@@ -296,9 +303,19 @@
         }
     }
 
+    /// Replaces a report by another one in the sums, so that a placement needn't add up all reports.
+    fn count_report(&mut self, before: &TargetReport, after: &TargetReport) {
+        self.reported_running =
+            self.reported_running + u32::from(after.running) - u32::from(before.running);
+        self.reported_unread =
+            self.reported_unread + u64::from(after.unread_tokens) - u64::from(before.unread_tokens);
+    }
+
     /// Drops the report of a peer.
     pub(crate) fn drop_report(&mut self, peer: &str) {
-        self.reports.remove(peer);
+        if let Some((_, report)) = self.reports.remove(peer) {
+            self.count_report(&report, &TargetReport::default());
+        }
     }
 
     /// The report of this instance for its peers.
--- a/kwg-gate/tests/targets.rs
+++ b/kwg-gate/tests/targets.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use kwg_gate::{
-    AttemptSample, ColdNotice, DomainMap, InstanceMap, PlacementDecision, PlacementQuery,
-    ServiceName, TargetEntry, TargetId, TargetKey, TargetRegistry, TargetTracker, VersionFilter,
+    AttemptSample, ColdNotice, DomainMap, GateDigest, InstanceMap, PlacementDecision,
+    PlacementQuery, ServiceName, TargetCode, TargetEntry, TargetId, TargetKey, TargetRegistry,
+    TargetReport, TargetTracker, VersionFilter,
 };
 use kwg_model::MonoTime;
 
@@ -183,3 +184,27 @@
     assert_eq!(loaded.len(), 2, "six requests run at three old targets: {loaded:?}");
     assert!(loaded.iter().all(|name| *name == loaded[0]), "one target only: {loaded:?}");
 }
+
+/// The sums of the reports are kept up to date rather than added up for each placement: a report that is replaced, or whose
+/// sender is gone, must not stay in them.
+#[test]
+fn replaced_and_dropped_reports_leave_the_load() {
+    let mut tracker = tracker(&[("a", "graz")]);
+    let now = MonoTime::from_millis(1);
+    let code = TargetCode::of("a");
+    let load = |tracker: &TargetTracker| tracker.speeds(now).next().expect("known").load;
+    let report = |running| GateDigest {
+        targets: vec![(code, TargetReport { running, unread_tokens: 10, ..Default::default() })],
+        ..Default::default()
+    };
+    tracker.apply_digest("peer", &report(3), now);
+    tracker.apply_digest("other", &report(2), now);
+    assert_eq!(load(&tracker), 5);
+    tracker.apply_digest("peer", &report(1), now);
+    assert_eq!(load(&tracker), 3);
+    tracker.apply_digest("other", &GateDigest::default(), now);
+    assert_eq!(load(&tracker), 1);
+    tracker.drop_peer("peer");
+    tracker.drop_peer("other");
+    assert_eq!(load(&tracker), 0);
+}
