--- a/kwg-gate/tests/learned_speeds.rs
+++ b/kwg-gate/tests/learned_speeds.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// An engine that turns five times slower for 5 s and back: known at half of the change within 2 s, and again within 2.5 s
+/// An engine that turns five times slower for 5 s and back: known at half of the new time of a token within 2 s, and at 1.5 times the usual one within 2.5 s
 /// after its recovery. The streams that slowed down would report it only at their ends, 10 s later.
 #[test]
 fn a_slow_phase_is_followed() {
