--- a/kwg-gateway/src/traffic/target_attempt.rs
+++ b/kwg-gateway/src/traffic/target_attempt.rs
@@ -240,13 +240,13 @@
                     return Self::end_stream(exchange, relay).map(|()| None);
                 }
                 let fill = async { exchange.fill().await.map(FillStep::Filled) };
-                let reserved = async { Ok(FillStep::Reserved(reserve.as_mut().await)) };
+                let reserved = async { Ok(FillStep::Reserved(Box::new(reserve.as_mut().await))) };
                 match fill.or(reserved).await? {
                     FillStep::Filled(true) => {}
                     FillStep::Filled(false) => {
                         return Self::end_stream(exchange, relay).map(|()| None);
                     }
-                    FillStep::Reserved(reserved) => return Ok(Some(reserved)),
+                    FillStep::Reserved(reserved) => return Ok(Some(*reserved)),
                 }
             }
             if !has_begun {
@@ -325,5 +325,5 @@
 enum FillStep {
     /// Bytes were read; whether more may follow.
     Filled(bool),
-    Reserved((ReservedTarget, TargetLink)),
+    Reserved(Box<(ReservedTarget, TargetLink)>),
 }
