fix(kwg-gate): polls after a change wait as long as others

Change: every poll waits 2.1 to 2.5 s. The bound of 3.4 s after a silence is kept: silent_store.rs passes unchanged.

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -12,9 +12,6 @@
 /// that instances that were answered at the same moment do not all notice a silence at the last one. A lower
 /// bound costs more calls: 1,565 an hour for each table with this one.
 const SHORTEST_WAIT: Duration = Duration::from_millis(2_100);
-/// The longest wait of a poll that follows a change: another change often follows soon. It costs at most one
-/// call for each change.
-const CHANGED_WAIT: Duration = Duration::from_millis(1_200);
 /// Time for a reply beyond the wait of the call. Lost packets are sent again after 0.2 and 0.6 s.
 const REPLY_TIME: Duration = Duration::from_millis(800);
 /// Time limit for the reply to a reading, and the lowest one of a poll.
@@ -120,8 +117,6 @@
 
 #[derive(Debug)]
 struct FeedSchedule {
-    /// Whether the last poll was answered before its wait was over: the table changes.
-    is_changing: bool,
     /// The pause after the next failed call.
     pause: Duration,
     /// Whether the whole table is to be read.
@@ -138,7 +133,6 @@
     #[expect(clippy::new_without_default, reason = "a default would hide the state")]
     pub fn new() -> Self {
         let schedule = FeedSchedule {
-            is_changing: false,
             pause: MIN_PAUSE,
             needs_reading: true,
             checks: None,
@@ -152,7 +146,7 @@
     #[must_use]
     pub fn begin(self, now: MonoTime, draw: f64) -> StoreFeed<Calling> {
         let FeedSchedule { needs_reading, checks, failing_since, .. } = &self.schedule;
-        let longest_wait = self.schedule.longest_wait(draw);
+        let longest_wait = LONGEST_WAIT - (LONGEST_WAIT - SHORTEST_WAIT).mul_f64(draw);
         let call = match checks {
             _ if *needs_reading => FeedCall::Read,
             // The store is back once it answers, not once something changes.
@@ -172,14 +166,6 @@
     }
 }
 
-impl FeedSchedule {
-    /// How long the store may hold the next poll.
-    fn longest_wait(&self, draw: f64) -> Duration {
-        let longest = if self.is_changing { CHANGED_WAIT } else { LONGEST_WAIT };
-        longest - (LONGEST_WAIT - SHORTEST_WAIT).mul_f64(draw)
-    }
-}
-
 impl<S> StoreFeed<S> {
     /// Plans checks of the table, until one is proved to show all changes up to the revision `floor`: what
     /// was read may be stale, or the feed may have lacked changes before it broke off.
@@ -260,11 +246,6 @@
     pub fn answered(mut self, witness: &StoreWitness, now: MonoTime) -> (StoreFeed<Waiting>, bool) {
         self.schedule.needs_reading = false;
         self.schedule.pause = MIN_PAUSE;
-        if let FeedCall::Follow { wait } = self.state.call
-            && !wait.is_zero()
-        {
-            self.schedule.is_changing = now.since(self.state.sent) < wait;
-        }
         let failing_since = self.schedule.failing_since.take();
         let ends_outage = failing_since.is_some_and(|since| {
             now.since(since) >= MIN_OUTAGE && !witness.shows_service_since(since)
