fix(kwg-gate): slots beyond the learned capacity are not idle

Cause: a service is contended when no more slots are idle than requests wait, and slots of slow targets beyond their learned capacity, which nobody uses, counted as idle.

--- a/kwg-gate/src/target/target_tracker/home_regions.rs
+++ b/kwg-gate/src/target/target_tracker/home_regions.rs
@@ -43,7 +43,8 @@
         open.map(TargetState::usable_slots).sum()
     }
 
-    /// Number of free slots of a service in some regions, whoever may take them.
+    /// Number of free slots of a service in some regions, whoever may take them. Slots beyond what a target takes well are
+    /// not free: with them a full fleet with slow targets would never count as contended.
     pub(crate) fn idle_slots_within(
         &self,
         service: &str,
@@ -51,7 +52,7 @@
         now: MonoTime,
     ) -> u32 {
         let open = self.open_within(service, regions, now);
-        open.map(|state| state.entry.slots.saturating_sub(state.load())).sum()
+        open.map(|state| state.speed.capacity().saturating_sub(state.load())).sum()
     }
 
     /// The targets of a service that do not leave.
