--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -1,9 +1,12 @@
 //! The scripts of the second review: each starts gateways as processes beside stand-ins.
 
+mod fleet;
 mod gateway;
 mod http;
+mod proxy;
 mod record;
 mod runner;
+mod silent_feeds;
 mod stale_reads;
 mod store;
 
@@ -50,6 +53,7 @@
     scene.record.line(format_args!("case {case}, trouble {}", scene.has_trouble));
     let verdict = match case.as_str() {
         "stale-reads" => stale_reads::run(&scene),
+        "silent-feeds" => silent_feeds::run(&scene),
         _ => Verdict::NotRun("no such case"),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/lab-2/src/stale_reads.rs
+++ b/review/lab-2/src/stale_reads.rs
@@ -2,13 +2,9 @@
 
 use std::time::Duration;
 
-use serde_json::{Value, json};
-
-use crate::gateway::{Gateway, Place};
+use crate::fleet::{self, Fleet};
 use crate::http::call;
-use crate::runner::Runner;
-use crate::store::Store;
-use crate::{Scene, Verdict, own_ip};
+use crate::{Scene, Verdict};
 
 /// How far reads are behind: the largest `x` of `platform_compact` on the site.
 const LAG: Duration = Duration::from_millis(6_000);
@@ -19,55 +15,11 @@
 /// `configApplyMs` and `maxSkewMs` of the site.
 const APPLY: Duration = Duration::from_millis(2_500 + 6_000);
 
-const ZONES: [&str; 3] = ["ost-graz", "ost-wien", "west-ibk"];
-
-fn config(version: u64, service: &str, keys: &[&str]) -> Value {
-    json!({ "version": version,
-        "routes": [{ "name": "open", "host": "bot.example", "prefix": "/open/",
-            "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0,
-            "service": service, "maxAttempts": 1 }],
-        "services": [{ "name": "botapp", "healthPath": "/health", "maxConns": 110 },
-            { "name": "newapp", "healthPath": "/health", "maxConns": 110 }],
-        "limits": { "maxHeaderBytes": 8192, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000 },
-        "tenants": [{ "name": "hule930", "apiKeys": keys }] })
-}
-
-fn request(id: &str, key: &str) -> Vec<u8> {
-    format!(
-        "POST /open/pr HTTP/1.1\r\nHost: bot.example\r\nX-Knapweedglade-Request-Id: {id}\r\n\
-         X-Knapweedglade-Deadline-Ms: 3000\r\nAuthorization: Token {key}\r\n\
-         Content-Length: 4\r\n\r\nbody"
-    )
-    .into_bytes()
-}
-
 pub fn run(scene: &Scene) -> Verdict {
-    let Scene { record, folder, has_trouble } = scene;
-    let store = Store::start(own_ip(1));
-    store.put("op", "config", Some(&config(1, "botapp", &["key-kept", "key-dropped"])));
-    let start = |number: u8, service: &str| {
-        let id = format!("i-{service}-{number}");
-        let work = Duration::from_millis(30);
-        Runner::start(own_ip(20 + number), &id, service, work, record)
-    };
-    let old: Vec<Runner> = (0..3).map(|number| start(number, "botapp")).collect();
-    let new: Vec<Runner> = (3..6).map(|number| start(number, "newapp")).collect();
-    for (number, runner) in old.iter().chain(&new).enumerate() {
-        store.put("servers", &runner.id, Some(&runner.entry(ZONES[number % 3])));
-    }
-    let gateways: Vec<Gateway> = (0..9)
-        .map(|number: u8| {
-            let zone = ZONES[usize::from(number) % 3];
-            let name = format!("front-{zone}-{}", number / 3 + 1);
-            let place =
-                Place { name: &name, zone, ip: own_ip(100 + number), store: store.address };
-            Gateway::start(folder, &place)
-        })
-        .collect();
-    if !gateways.iter().all(Gateway::wait_ready) {
+    let Scene { record, has_trouble, .. } = scene;
+    let Some(Fleet { store, runners, gateways, .. }) = Fleet::start(scene, 9, 3, &fleet::ZONES) else {
         return Verdict::NotRun("the gateways are not ready");
-    }
+    };
     // A start is a disruption of its machine, and the first checks of the tables follow it.
     std::thread::sleep(Duration::from_millis(8_000));
     let begun = record.now();
@@ -76,7 +28,7 @@
         store.deafen_feeds();
     }
     record.sleep_until(begun + Duration::from_millis(500));
-    let revision = store.put("op", "config", Some(&config(2, "newapp", &["key-kept"])));
+    let revision = store.put("op", "config", Some(&fleet::config(2, "newapp", &["key-kept"])));
     let acknowledged = record.now();
     record.line(format_args!(
         "the operator's version 2 is acknowledged, row version {revision}: route open goes to newapp, key-dropped is \
@@ -103,7 +55,7 @@
                 let (front, record, key) = (gateway.front, record.clone(), key.to_owned());
                 calls.push(std::thread::spawn(move || {
                     let sent = record.now();
-                    let answer = call(front, &request(&id, &key), limit);
+                    let answer = call(front, &fleet::request(&id, &key), limit);
                     let body = String::from_utf8_lossy(&answer.body).into_owned();
                     record.line(format_args!(
                         "client sent {id} at {:.3}: {} {body}",
@@ -119,7 +71,7 @@
     let sent: Vec<(String, Duration)> =
         calls.into_iter().map(|call| call.join().expect("a call ends")).collect();
     let mut broken = 0;
-    for runner in old.iter().chain(&new) {
+    for runner in &runners {
         for run in runner.runs() {
             let Some((id, sent)) = sent.iter().find(|(id, _)| *id == run.request) else { continue };
             if runner.service == "botapp" || id.ends_with("key-dropped") {
