--- a/review/lab-2/src/fleet.rs
+++ b/review/lab-2/src/fleet.rs
@@ -16,6 +16,7 @@
     pub store: Store,
     pub proxy: Proxy,
     pub runners: Vec<Runner>,
+    pub places: Vec<Place>,
     pub gateways: Vec<Gateway>,
 }
 
@@ -24,7 +25,10 @@
     json!({ "version": version,
         "routes": [{ "name": "open", "host": "bot.example", "prefix": "/open/",
             "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0,
-            "service": service, "maxAttempts": 1 }],
+            "service": service, "maxAttempts": 1 },
+            { "name": "scan", "host": "bot.example", "prefix": "/scan/",
+            "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0,
+            "service": service, "maxAttempts": 2 }],
         "services": [{ "name": "botapp", "healthPath": "/health", "maxConns": 110 },
             { "name": "newapp", "healthPath": "/health", "maxConns": 110 }],
         "limits": { "maxHeaderBytes": 8192, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
@@ -32,9 +36,9 @@
         "tenants": [{ "name": "hule930", "apiKeys": keys }] })
 }
 
-pub fn request(id: &str, key: &str) -> Vec<u8> {
+pub fn request(path: &str, id: &str, key: &str) -> Vec<u8> {
     format!(
-        "POST /open/pr HTTP/1.1\r\nHost: bot.example\r\nX-Knapweedglade-Request-Id: {id}\r\n\
+        "POST {path} HTTP/1.1\r\nHost: bot.example\r\nX-Knapweedglade-Request-Id: {id}\r\n\
          X-Knapweedglade-Deadline-Ms: 3000\r\nAuthorization: Token {key}\r\n\
          Content-Length: 4\r\n\r\nbody"
     )
@@ -44,30 +48,36 @@
 impl Fleet {
     /// Starts `runners` runners of `botapp` and as many of `newapp`, by turns in these zones, and gateways; `None` if these
     /// don't become ready.
-    pub fn start(scene: &Scene, gateways: u8, runners: u8, zones: &[&str]) -> Option<Self> {
+    pub fn start(
+        scene: &Scene,
+        gateways: u8,
+        runners: u8,
+        work: Duration,
+        zones: &[&str],
+    ) -> Option<Self> {
         let store = Store::start(own_ip(1));
         let proxy = Proxy::start(own_ip(2), store.address);
         store.put("op", "config", Some(&config(1, "botapp", &["key-kept", "key-dropped"])));
         let start = |number: u8| {
             let service = if number < runners { "botapp" } else { "newapp" };
             let id = format!("i-{service}-{number}");
-            let work = Duration::from_millis(30);
             Runner::start(own_ip(20 + number), &id, service, work, &scene.record)
         };
         let runners: Vec<Runner> = (0..2 * runners).map(start).collect();
         for (number, runner) in runners.iter().enumerate() {
             store.put("servers", &runner.id, Some(&runner.entry(zones[number % zones.len()])));
         }
-        let gateways: Vec<Gateway> = (0..gateways)
+        let places: Vec<Place> = (0..gateways)
             .map(|number| {
                 let zone = ZONES[usize::from(number) % 3];
                 let name = format!("front-{zone}-{}", number / 3 + 1);
                 let ip = own_ip(100 + number);
-                let place = Place { name: &name, zone, ip, store: proxy.address };
-                Gateway::start(&scene.folder, &place)
+                Place { name, zone, ip, store: proxy.address }
             })
             .collect();
+        let gateways: Vec<Gateway> =
+            places.iter().map(|place| Gateway::start(&scene.folder, place)).collect();
         let are_ready = gateways.iter().all(Gateway::wait_ready);
-        are_ready.then_some(Self { store, proxy, runners, gateways })
+        are_ready.then_some(Self { store, proxy, runners, places, gateways })
     }
 }
--- a/review/lab-2/src/gateway.rs
+++ b/review/lab-2/src/gateway.rs
@@ -11,9 +11,9 @@
 use crate::http::call;
 
 /// What the platform fills into the template of the settings.
-pub struct Place<'a> {
-    pub name: &'a str,
-    pub zone: &'a str,
+pub struct Place {
+    pub name: String,
+    pub zone: &'static str,
     pub ip: Ipv4Addr,
     pub store: SocketAddr,
 }
@@ -35,7 +35,7 @@
 
 impl Gateway {
     /// Starts a gateway in `folder`, which holds its settings and its log.
-    pub fn start(folder: &Path, place: &Place<'_>) -> Self {
+    pub fn start(folder: &Path, place: &Place) -> Self {
         let Place { name, zone, ip, store } = place;
         let template = std::fs::read_to_string("deploy/gateway.ini").expect("the repository root");
         let text = template
@@ -82,7 +82,7 @@
             .spawn()
             .expect("the build of the deploy file has run");
         let (front, ready) = ((*ip, 8221).into(), (*ip, 8224).into());
-        let (name, folder) = ((*name).to_owned(), folder.to_owned());
+        let (name, folder) = (name.clone(), folder.to_owned());
         Self { name, front, ready, child, folder }
     }
 
--- a/review/lab-2/src/http.rs
+++ b/review/lab-2/src/http.rs
@@ -17,6 +17,10 @@
 }
 
 impl Requests {
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, buffer: Vec::new() }
+    }
+
     /// The next request with its body; `None` once the peer has closed the connection.
     pub fn next(&mut self) -> io::Result<Option<(RequestHead, Vec<u8>)>> {
         let head = loop {
@@ -64,7 +68,7 @@
             thread::spawn(move || {
                 drop(stream.set_nodelay(true));
                 // An error ends the connection, and nothing else.
-                drop(handle(&mut Requests { stream, buffer: Vec::new() }));
+                drop(handle(&mut Requests::new(stream)));
             });
         }
     });
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod gateway;
+mod forgotten_crashes;
 mod http;
 mod proxy;
 mod record;
@@ -53,6 +54,7 @@
     scene.record.line(format_args!("case {case}, trouble {}", scene.has_trouble));
     let verdict = match case.as_str() {
         "stale-reads" => stale_reads::run(&scene),
+        "forgotten-crashes" => forgotten_crashes::run(&scene),
         "silent-feeds" => silent_feeds::run(&scene),
         _ => Verdict::NotRun("no such case"),
     };
--- a/review/lab-2/src/silent_feeds.rs
+++ b/review/lab-2/src/silent_feeds.rs
@@ -11,9 +11,12 @@
 /// `drainMs` of the site.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
+/// `work ms` of the site's plain requests.
+const WORK: Duration = Duration::from_millis(30);
+
 pub fn run(scene: &Scene) -> Verdict {
     let Scene { record, has_trouble, .. } = scene;
-    let Some(fleet) = Fleet::start(scene, 9, 3, &fleet::ZONES[..1]) else {
+    let Some(fleet) = Fleet::start(scene, 9, 3, WORK, &fleet::ZONES[..1]) else {
         return Verdict::NotRun("the gateways are not ready");
     };
     std::thread::sleep(Duration::from_millis(8_000));
@@ -45,18 +48,18 @@
             calls.push(std::thread::spawn(move || {
                 let sent = record.now();
                 let answer =
-                    call(front, &fleet::request(&id, "key-kept"), Duration::from_secs(3));
+                    call(front, &fleet::request("/open/pr", &id, "key-kept"), Duration::from_secs(3));
                 record.line(format_args!(
                     "client sent {id} at {:.3}: {}",
                     sent.as_secs_f64(),
                     answer.status
                 ));
-                (id, sent)
+                (id, answer.status)
             }));
         }
         std::thread::sleep(Duration::from_millis(50));
     }
-    let sent: Vec<(String, Duration)> =
+    let sent: Vec<(String, u16)> =
         calls.into_iter().map(|call| call.join().expect("a call ends")).collect();
     let mut broken = 0;
     for run in gone.runs() {
@@ -69,7 +72,11 @@
             ));
         }
     }
-    record.line(format_args!("{broken} of {} requests reached the runner that is gone", sent.len()));
+    let lost = sent.iter().filter(|(_, status)| *status != 200).count();
+    record.line(format_args!(
+        "{broken} of {} requests reached the runner that is gone; {lost} got no answer of a runner",
+        sent.len()
+    ));
     match broken {
         0 => Verdict::Held,
         _ => Verdict::Broken,
--- a/review/lab-2/src/stale_reads.rs
+++ b/review/lab-2/src/stale_reads.rs
@@ -15,9 +15,12 @@
 /// `configApplyMs` and `maxSkewMs` of the site.
 const APPLY: Duration = Duration::from_millis(2_500 + 6_000);
 
+/// `work ms` of the site's plain requests.
+const WORK: Duration = Duration::from_millis(30);
+
 pub fn run(scene: &Scene) -> Verdict {
     let Scene { record, has_trouble, .. } = scene;
-    let Some(Fleet { store, runners, gateways, .. }) = Fleet::start(scene, 9, 3, &fleet::ZONES) else {
+    let Some(Fleet { store, runners, gateways, .. }) = Fleet::start(scene, 9, 3, WORK, &fleet::ZONES) else {
         return Verdict::NotRun("the gateways are not ready");
     };
     // A start is a disruption of its machine, and the first checks of the tables follow it.
@@ -55,7 +58,7 @@
                 let (front, record, key) = (gateway.front, record.clone(), key.to_owned());
                 calls.push(std::thread::spawn(move || {
                     let sent = record.now();
-                    let answer = call(front, &fleet::request(&id, &key), limit);
+                    let answer = call(front, &fleet::request("/open/pr", &id, &key), limit);
                     let body = String::from_utf8_lossy(&answer.body).into_owned();
                     record.line(format_args!(
                         "client sent {id} at {:.3}: {} {body}",
