--- a/review/lab-2/src/http.rs
+++ b/review/lab-2/src/http.rs
@@ -83,6 +83,8 @@
     pub seal: Option<String>,
     pub body: Vec<u8>,
     pub is_complete: bool,
+    /// What came behind it, so far.
+    pub rest: Vec<u8>,
 }
 
 /// Sends bytes on a new connection, and reads the answer.
@@ -115,6 +117,7 @@
             inbox.drain(..used);
             if decoder.is_done() {
                 answer.is_complete = true;
+                answer.rest = inbox;
                 return answer;
             }
         }
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -1,5 +1,6 @@
 //! The scripts of the second review: each starts gateways as processes beside stand-ins.
 
+mod ended_stream;
 mod fleet;
 mod gateway;
 mod forgotten_crashes;
@@ -54,6 +55,7 @@
     scene.record.line(format_args!("case {case}, trouble {}", scene.has_trouble));
     let verdict = match case.as_str() {
         "stale-reads" => stale_reads::run(&scene),
+        "ended-stream" => ended_stream::run(&scene),
         "forgotten-crashes" => forgotten_crashes::run(&scene),
         "silent-feeds" => silent_feeds::run(&scene),
         _ => Verdict::NotRun("no such case"),
--- a/review/lab-2/src/proxy.rs
+++ b/review/lab-2/src/proxy.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
     pub address: SocketAddr,
     /// Connections of an earlier age carry nothing more.
     age: Arc<AtomicU64>,
+    ends: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Proxy {
@@ -20,10 +21,15 @@
         let address = listener.local_addr().expect("bound");
         let age = Arc::new(AtomicU64::new(0));
         let accepting = Arc::clone(&age);
+        let ends: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let kept = Arc::clone(&ends);
         thread::spawn(move || {
             for near in listener.incoming().map_while(Result::ok) {
                 let Ok(far) = TcpStream::connect(target) else { continue };
                 drop((near.set_nodelay(true), far.set_nodelay(true)));
+                for end in [&near, &far] {
+                    kept.lock().unwrap_or_else(PoisonError::into_inner).extend(end.try_clone());
+                }
                 let own = accepting.load(Ordering::SeqCst);
                 let pairs = [(&near, &far), (&far, &near)];
                 for (from, to) in pairs {
@@ -33,7 +39,14 @@
                 }
             }
         });
-        Self { address, age }
+        Self { address, age, ends }
+    }
+
+    /// All open connections end, at both sides.
+    pub fn reset_all(&self) {
+        for end in self.ends.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            drop(end.shutdown(Shutdown::Both));
+        }
     }
 
     /// All open connections go silent: nothing is carried, and nothing is closed. New ones work.
