--- a/review/lab-2/src/fleet.rs
+++ b/review/lab-2/src/fleet.rs
@@ -1,11 +1,10 @@
-//! A small deployment: a store behind a proxy, runners of a plain service, and gateways in three zones.
+//! A small deployment: a store, runners of a plain service, and gateways in three zones.
 
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
 use crate::gateway::{Gateway, Place};
-use crate::proxy::Proxy;
 use crate::runner::Runner;
 use crate::store::Store;
 use crate::{Scene, own_ip};
@@ -14,7 +13,6 @@
 
 pub struct Fleet {
     pub store: Store,
-    pub proxy: Proxy,
     pub runners: Vec<Runner>,
     pub places: Vec<Place>,
     pub gateways: Vec<Gateway>,
@@ -59,7 +57,6 @@
         zones: &[&str],
     ) -> Option<Self> {
         let store = Store::start(own_ip(1));
-        let proxy = Proxy::start(own_ip(2), store.address);
         store.put("op", "config", Some(&config(1, "botapp", &["key-kept", "key-dropped"])));
         let start = |number: u8| {
             let service = if number < runners { "botapp" } else { "newapp" };
@@ -75,12 +72,12 @@
                 let zone = ZONES[usize::from(number) % 3];
                 let name = format!("front-{zone}-{}", number / 3 + 1);
                 let ip = own_ip(100 + number);
-                Place { name, zone, ip, store: proxy.address }
+                Place { name, zone, ip, store: store.address }
             })
             .collect();
         let gateways: Vec<Gateway> =
             places.iter().map(|place| Gateway::start(&scene.folder, place)).collect();
         let are_ready = gateways.iter().all(Gateway::wait_ready);
-        are_ready.then_some(Self { store, proxy, runners, places, gateways })
+        are_ready.then_some(Self { store, runners, places, gateways })
     }
 }
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -8,7 +8,6 @@
 mod proxy;
 mod record;
 mod runner;
-mod silent_feeds;
 mod stale_reads;
 mod store;
 
@@ -56,7 +55,6 @@
         "stale-reads" => stale_reads::run(&scene),
         "ended-stream" => ended_stream::run(&scene),
         "forgotten-crashes" => forgotten_crashes::run(&scene),
-        "silent-feeds" => silent_feeds::run(&scene),
         _ => Verdict::NotRun("no such case"),
     };
     if std::env::var("KEEP").is_err() {
