gateway: a reset that a write has met is no orderly end of an answer

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer: as a whole body with its length, or as a stream with its last chunk.

Cause: the kernel reports a connection's error once, to whichever of read and write comes first. The request is written while the reply is read. Where the write met the reset, its error was logged and dropped, since a target may answer without reading the whole request; the next read then returned 0 like an orderly close, which ends a body without length.

Change: the socket keeps the error of a failed write, and a read that finds no more bytes returns it. This is in the socket, so that all replies that are read from one (targets, store) have it.

Ruled out: cutting the attempt at each failed write. A target that has answered need not read the rest of a request (early_heads.rs).

--- a/knapweedglade/tests/support/mod.rs
+++ b/knapweedglade/tests/support/mod.rs
@@ -256,6 +256,14 @@
     )
 }
 
+/// Formats a POST request with a body of `length` bytes.
+pub fn long_request(path: &str, id: &str, length: usize) -> String {
+    let text = request("POST", path, id);
+    let head = text.strip_suffix("body").expect("the body is last");
+    let head = head.replace("Content-Length: 4", &format!("Content-Length: {length}"));
+    head + &"b".repeat(length)
+}
+
 /// The answer to a call.
 #[derive(Debug, Default)]
 pub struct Answer {
--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -53,19 +53,28 @@
     inbox: Vec<u8>,
     /// Whether the last read filled its buffer, so that more bytes are probably waiting.
     has_more: bool,
+    write_error: WriteError,
 }
 
+/// The error with which writing has failed, unless the peer had ended its direction before. The kernel
+/// reports a connection's error once: a read after the failed write sees an orderly end.
+type WriteError = Cell<Option<io::ErrorKind>>;
+
 /// The read half of a [`ByteSocket`].
 #[derive(Debug)]
 pub(crate) struct SocketReader<'a> {
     stream: &'a Async<TcpStream>,
     inbox: &'a mut Vec<u8>,
     has_more: &'a mut bool,
+    write_error: &'a WriteError,
 }
 
 /// The write half of a [`ByteSocket`].
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct SocketWriter<'a>(&'a Async<TcpStream>);
+pub(crate) struct SocketWriter<'a> {
+    stream: &'a Async<TcpStream>,
+    write_error: &'a WriteError,
+}
 
 impl ByteSocket {
     /// Connects to `address`; fails with `TimedOut` after `limit`.
@@ -87,7 +96,8 @@
         if let Err(error) = stream.get_ref().set_nodelay(true) {
             log::debug!("event=socket-option option=nodelay error={error}");
         }
-        let socket = Self { stream, inbox: Vec::new(), has_more: false };
+        let socket =
+            Self { stream, inbox: Vec::new(), has_more: false, write_error: Cell::default() };
         socket.set_user_timeout(limit);
         socket
     }
@@ -127,8 +137,9 @@
             stream: &self.stream,
             inbox: &mut self.inbox,
             has_more: &mut self.has_more,
+            write_error: &self.write_error,
         };
-        (reader, SocketWriter(&self.stream))
+        (reader, SocketWriter { stream: &self.stream, write_error: &self.write_error })
     }
 
     /// Whether the connection is open with nothing to read. An idle connection that has received
@@ -162,12 +173,18 @@
     }
 
     /// Reads more bytes into the buffer; returns 0 at the end of the stream.
+    ///
+    /// # Errors
+    /// As [`Self::fill_up_to`].
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         self.fill_up_to(READ_BYTES).await
     }
 
     /// Reads at most `limit` more bytes into the buffer; returns 0 at the end of the stream. It can be
     /// cancelled.
+    ///
+    /// # Errors
+    /// Errors of the socket, also one that a write has reported before.
     pub(crate) async fn fill_up_to(&mut self, limit: usize) -> io::Result<usize> {
         // A peer that sends faster than its bytes are processed must not keep timers and other
         // tasks waiting. The pause is before a read, since one after it would let a timer that has
@@ -190,7 +207,10 @@
         })
         .await?;
         *self.has_more = count == limit;
-        Ok(count)
+        match self.write_error.get() {
+            Some(kind) if count == 0 => Err(kind.into()),
+            _ => Ok(count),
+        }
     }
 
     /// Waits until the peer has closed the connection or reading fails; calls `on_bytes` with the
@@ -237,9 +257,17 @@
 
     /// Writes some of the bytes, at least one; returns how many.
     pub(crate) async fn write_part(self, bytes: &[u8]) -> io::Result<usize> {
-        match (&mut &*self.0).write(bytes).await? {
-            0 => Err(io::ErrorKind::WriteZero.into()),
-            count => Ok(count),
+        match (&mut &*self.stream).write(bytes).await {
+            Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+            Ok(count) => Ok(count),
+            Err(error) => {
+                // The first write after a reset reports the reset. `BrokenPipe` alone means that the
+                // peer's direction had come to its end before.
+                if error.kind() != io::ErrorKind::BrokenPipe {
+                    self.write_error.set(Some(error.kind()));
+                }
+                Err(error)
+            }
         }
     }
 }
--- a/kwg-standin/src/lib.rs
+++ b/kwg-standin/src/lib.rs
@@ -20,6 +20,6 @@
 pub use platform::PlatformStandin;
 pub use reference_answer::ReferenceAnswer;
 pub use wire::{
-    EndlessReply, FatalEnd, ReceivedRequest, RunnerMode, RunnerStandin, SampleFleet, StoreMode,
-    StoreStandin, StreamFraming,
+    BrokenReply, EndlessReply, FatalEnd, ReceivedRequest, RunnerMode, RunnerStandin, SampleFleet,
+    StoreMode, StoreStandin, StreamFraming,
 };
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -8,7 +8,7 @@
 
 use super::runner_reply::{reply_to, send_endless, stream_events};
 use super::wire_server::{RequestReader, serve};
-use super::{EndlessReply, FatalEnd, StreamFraming};
+use super::{BrokenReply, EndlessReply, FatalEnd, StreamFraming};
 
 /// How a runner responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -83,6 +83,8 @@
     DeclineLeaving,
     /// Declines with 503, and wants no request for this many milliseconds.
     Pause(u64),
+    /// Sends a reply that is no complete and valid answer.
+    Broken(BrokenReply),
     /// Answers with status 500 if the request resumes a stream; otherwise as [`Self::DisconnectMidStream`].
     FailResumed,
 }
@@ -201,12 +203,12 @@
 }
 
 /// Two events of a stream.
-const WHOLE_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+pub(super) const WHOLE_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 /// The same and a part of the third.
 const CUT_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda";
 
 /// Resets a connection instead of closing it.
-fn reset(stream: &TcpStream) -> io::Result<()> {
+pub(super) fn reset(stream: &TcpStream) -> io::Result<()> {
     rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
     Ok(())
 }
@@ -246,6 +248,10 @@
             reply.field("Transfer-Encoding", "chunked");
             reader.stream.write_all(&reply.finish().expect("header text"))?;
         }
+        if let RunnerMode::Broken(reply) = mode {
+            lock(shared).received.push(ReceivedRequest { head, body: Vec::new() });
+            return reply.send(reader, &id);
+        }
         let Some(body) = reader.body(&head)? else { return Ok(()) };
         let length = body.len();
         let fatal = {
