http: a reply that states no length is an error

What callers saw: of a plain service behind a router that answers without a length, an empty answer that looks complete, whatever the service had sent and however its connection ended.

Cause: the HTTP library replaces a body that ends with its connection by an empty one of length 0, for which there is nothing left to be truncated.

Evidence: a_body_that_ends_with_its_connection_is_an_error; with the check taken out, the reply "200 OK, no length, hello" is read as 200 with an empty body.

Change: CallClient::open rejects such a reply, which is a cut answer to all of its users. The bytes cannot be read instead, since the library has dropped them. Replies with a length of 0, with chunks, and of status 204 and 304 are read as before (replies_without_a_body_are_read).

--- a/kwg-http/src/call_client.rs
+++ b/kwg-http/src/call_client.rs
@@ -2,9 +2,10 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use http_types::headers::CONTENT_LENGTH;
 use http_types::{Method, Request, Response, StatusCode, Url};
 use kwg_clock::ClockHandle;
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use crate::{BodyError, BodyReader, SocketStream};
 
@@ -53,6 +54,13 @@
         /// The cause.
         reason: String,
     },
+    /// The reply states no length, so that a truncated body could not be told from a whole one; the
+    /// call may have taken effect.
+    #[snafu(display("the reply of {address} states no length"))]
+    NoLength {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The reply is incomplete or too long; the call may have taken effect.
     #[snafu(display("cannot read the reply of {address}: {source}"))]
     Reply {
@@ -112,7 +120,8 @@
     /// response.
     ///
     /// # Errors
-    /// [`CallError::Exchange`], in which case the call may have taken effect.
+    /// [`CallError::Exchange`] and [`CallError::NoLength`], in which case the call may have taken
+    /// effect.
     pub async fn open(
         &self,
         stream: SocketStream,
@@ -120,7 +129,10 @@
     ) -> Result<Response, CallError> {
         let address = self.address;
         let response = async_h1::connect(stream, request).await;
-        response.map_err(|error| CallError::Exchange { address, reason: error.to_string() })
+        let response =
+            response.map_err(|error| CallError::Exchange { address, reason: error.to_string() })?;
+        ensure!(has_known_end(&response), NoLengthSnafu { address });
+        Ok(response)
     }
 
     /// Sends a request and reads its complete reply.
@@ -144,3 +156,11 @@
         exchange.or(timed_out).await
     }
 }
+
+/// Whether the end of the response's body is known. The HTTP library replaces a body that ends with
+/// its connection by an empty one.
+fn has_known_end(response: &Response) -> bool {
+    let is_bodiless = matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
+    let is_replaced = response.len() == Some(0) && response.header(CONTENT_LENGTH).is_none();
+    is_bodiless || !is_replaced
+}
--- a/kwg-http/tests/truncated_bodies.rs
+++ b/kwg-http/tests/truncated_bodies.rs
@@ -39,6 +39,15 @@
     }
 }
 
+#[test]
+fn replies_without_a_body_are_read() {
+    let counted = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+    for reply in [counted, chunked, "HTTP/1.1 204 No Content\r\n\r\n"] {
+        assert_eq!(call(reply).expect("whole").body, b"", "{reply:?}");
+    }
+}
+
 #[test]
 fn a_truncated_chunk_is_an_error() {
     let reply = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhello";
@@ -66,3 +75,33 @@
         "{cut}"
     );
 }
+
+/// The HTTP library returns an empty body instead, as if it were complete.
+#[test]
+fn a_body_that_ends_with_its_connection_is_an_error() {
+    for reply in [
+        "HTTP/1.1 200 OK\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nhello",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\nhello",
+    ] {
+        let called = call(reply);
+        assert!(matches!(called, Err(CallError::NoLength { .. })), "{reply:?}: {called:?}");
+    }
+}
+
+#[test]
+fn a_reply_that_is_reset_during_the_upload_is_an_error() {
+    for reply in [
+        "HTTP/1.1 200 OK\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    ] {
+        let address = serve_once(reply);
+        let client = CallClient::new(address, Duration::from_secs(5), ClockHandle::system());
+        let mut request = client.request(Method::Post, "/").expect("a valid path");
+        request.set_body(vec![b'b'; 32 << 20]);
+        let called = block_on(client.call(request));
+        assert!(matches!(called, Err(CallError::Exchange { .. })), "{reply:?}: {called:?}");
+    }
+}
