h1: a status outside 100 to 599 is no valid reply

What callers saw: of a target that answers with status 000 and a body that looks like a reply, that body as the answer, with status 200 and the seal in it. Of one that answers with 600 to 999, that status with body and seal.

Cause: the parser takes any three digits for a status. One under 200 was skipped as an interim reply, and the bytes of its body were read as the next head; one over 599 counted as a failure that may be passed on.

Evidence: a_reply_whose_status_is_out_of_range_is_not_passed_on. On the code before, callers got the inner 200 for 000 and 099 on both routes without streams, and 600 and 999 as sent on all three; a stream got 502. The head alone: a_status_out_of_range_is_rejected, 000 was parsed as 0.

Held already: 000 with a body that is no reply got 502, since that body was rejected as a head. The test has this case, too.

Change: ReplyHead::parse rejects the status, for targets and the store. The reply counts as a bad answer: a request that may run again goes to another target, any other gets 502. The HTTP library behind CallClient rejects such a status itself (a_status_out_of_range_is_an_error).

--- a/knapweedglade/tests/broken_replies.rs
+++ b/knapweedglade/tests/broken_replies.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use kwg_standin::{BrokenReply, RunnerMode};
-use support::{TestFleet, long_request};
+use support::{TestFleet, long_request, request};
 
 /// Length of a body that no socket buffer holds, in bytes.
 const LONG_BODY: usize = 12 << 20;
@@ -27,3 +27,27 @@
     }
     assert!(whole.is_empty(), "{} of 40: {whole:?}", whole.len());
 }
+
+/// Asserts that callers get a failure of the gateway instead of the reply, and that only a request that
+/// may run again does so.
+fn assert_rejected(broken: BrokenReply) {
+    let fleet = TestFleet::start("rejected", 2);
+    fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::Broken(broken)));
+    for (path, runs) in [("/open/a", 1), ("/scan/a", 2), ("/stream/digest/a", 1)] {
+        let before = fleet.runs();
+        let answer = fleet.call(&request("POST", path, "r1"));
+        let text = answer.text();
+        assert_eq!(answer.status, 502, "{broken:?}, {path}: {text}");
+        assert_eq!(answer.field("X-Knapweedglade-Server-Seal"), None, "{broken:?}, {path}");
+        assert!(!text.contains("answer to"), "{broken:?}, {path}: {text}");
+        assert_eq!(fleet.runs() - before, runs, "{broken:?}, {path}");
+    }
+}
+
+#[test]
+fn a_reply_whose_status_is_out_of_range_is_not_passed_on() {
+    for status in [0, 99, 600, 999] {
+        assert_rejected(BrokenReply::Status(status));
+        assert_rejected(BrokenReply::StatusBeforeAnswer(status));
+    }
+}
--- a/kwg-h1/src/reply_head.rs
+++ b/kwg-h1/src/reply_head.rs
@@ -1,3 +1,4 @@
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use httparse::{EMPTY_HEADER, Response, Status};
@@ -8,11 +9,13 @@
 
 /// Maximum length of a head from a target or the store, in bytes.
 const MAX_REPLY_HEAD: usize = 32 << 10;
+/// Status codes that HTTP defines. With any other, it is open whether a body or another reply follows.
+const VALID_STATUS: RangeInclusive<u16> = 100..=599;
 
 /// Parsed head of a reply: status, fields and how its body ends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplyHead {
-    /// The status code.
+    /// The status code, from 100 to 599.
     pub status: u16,
     /// The header fields.
     pub headers: HeaderList,
@@ -26,8 +29,8 @@
     /// Parses a head. Returns the head and its length in bytes, or `None` if it is incomplete.
     ///
     /// # Errors
-    /// [`HeadError`] for bytes that are not an HTTP/1.x reply, an ambiguous or invalid length, an
-    /// unsupported transfer coding, or a head over 32 KiB.
+    /// [`HeadError`] for bytes that are not an HTTP/1.x reply, a status out of range, an ambiguous or
+    /// invalid length, an unsupported transfer coding, or a head over 32 KiB.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
         let is_http = bytes.iter().zip(b"HTTP/1.").all(|(byte, expected)| byte == expected);
         if !is_http {
@@ -42,6 +45,9 @@
         else {
             return MalformedSnafu.fail();
         };
+        if !VALID_STATUS.contains(&status) {
+            return MalformedSnafu.fail();
+        }
         let headers = decode_fields(response.headers)?;
         let has_no_body = status < 200 || status == 204 || status == 304;
         let framing = match BodyFraming::from_headers(&headers)? {
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -47,6 +47,20 @@
     assert_eq!(ReplyHead::parse(b"HTTP/1.1 20"), Ok(None));
 }
 
+#[test]
+fn a_status_out_of_range_is_rejected() {
+    let parse = |status: &str| {
+        let head = format!("HTTP/1.1 {status} x\r\nContent-Length: 3\r\n\r\n");
+        ReplyHead::parse(head.as_bytes()).map(|parsed| parsed.expect("complete").0.status)
+    };
+    for status in ["000", "001", "099", "600", "999", "20", "2000", "+20", "20x"] {
+        assert_eq!(parse(status), Err(HeadError::Malformed), "{status}");
+    }
+    for status in [100, 200, 599] {
+        assert_eq!(parse(&status.to_string()), Ok(status));
+    }
+}
+
 #[test]
 fn no_part_of_a_reply_head_is_a_whole_one() {
     for head in [
--- a/kwg-http/tests/truncated_bodies.rs
+++ b/kwg-http/tests/truncated_bodies.rs
@@ -1,4 +1,4 @@
-//! Truncated bodies are always reported as errors, including those that the HTTP library accepts.
+//! Truncated bodies and invalid heads are always reported as errors, including those that the HTTP library accepts.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -105,3 +105,15 @@
         assert!(matches!(called, Err(CallError::Exchange { .. })), "{reply:?}: {called:?}");
     }
 }
+
+#[test]
+fn a_status_out_of_range_is_an_error() {
+    for reply in [
+        "HTTP/1.1 000 Unknown\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 099 Unknown\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 600 Unknown\r\ncontent-length: 5\r\n\r\nhello",
+    ] {
+        let called = call(reply);
+        assert!(matches!(called, Err(CallError::Exchange { .. })), "{reply:?}: {called:?}");
+    }
+}
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -214,7 +214,7 @@
 }
 
 /// Reads what the peer sends until it closes the connection.
-fn drain(reader: &mut RequestReader) -> io::Result<()> {
+pub(super) fn drain(reader: &mut RequestReader) -> io::Result<()> {
     while reader.next()?.is_some() {}
     Ok(())
 }
@@ -249,8 +249,8 @@
             reader.stream.write_all(&reply.finish().expect("header text"))?;
         }
         if let RunnerMode::Broken(reply) = mode {
-            lock(shared).received.push(ReceivedRequest { head, body: Vec::new() });
-            return reply.send(reader, &id);
+            lock(shared).received.push(ReceivedRequest { head: head.clone(), body: Vec::new() });
+            return reply.send(reader, &head, &id);
         }
         let Some(body) = reader.body(&head)? else { return Ok(()) };
         let length = body.len();
