Tests: a reply with an invalid field name is not passed on

A blank or a control byte in the name of a field of a target's reply was reported from other systems. The HTTP library behind CallClient rejects it as well.

The tests passed on the code as found: thirteen lines by a target, among them "Content-Length :" and "Transfer-Encoding :", each on three routes (broken_replies.rs); each byte up to 0x20 and 0x7f at three places of a name (kwg-h1/tests/heads.rs); five heads for CallClient. No product code changes.

Two tests of the file started gateways of the same name, and so wrote to the same settings file. They have names of their own now.

--- a/knapweedglade/tests/broken_replies.rs
+++ b/knapweedglade/tests/broken_replies.rs
@@ -30,8 +30,8 @@
 
 /// Asserts that callers get a failure of the gateway instead of the reply, and that only a request that
 /// may run again does so.
-fn assert_rejected(broken: BrokenReply) {
-    let fleet = TestFleet::start("rejected", 2);
+fn assert_rejected(name: &str, broken: BrokenReply) {
+    let fleet = TestFleet::start(name, 2);
     fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::Broken(broken)));
     for (path, runs) in [("/open/a", 1), ("/scan/a", 2), ("/stream/digest/a", 1)] {
         let before = fleet.runs();
@@ -47,7 +47,28 @@
 #[test]
 fn a_reply_whose_status_is_out_of_range_is_not_passed_on() {
     for status in [0, 99, 600, 999] {
-        assert_rejected(BrokenReply::Status(status));
-        assert_rejected(BrokenReply::StatusBeforeAnswer(status));
+        assert_rejected("bad-status", BrokenReply::Status(status));
+        assert_rejected("bad-status", BrokenReply::StatusBeforeAnswer(status));
+    }
+}
+
+#[test]
+fn a_reply_with_an_invalid_field_name_is_not_passed_on() {
+    for line in [
+        "X Name: a",
+        "X\tName: a",
+        "X-Name : a",
+        " X-Name: a",
+        "X\x01Name: a",
+        "X-Name\0: a",
+        "X-Name\x7f: a",
+        "X\rName: a",
+        ": a",
+        "X-Name",
+        "Content-Length : 3",
+        "Transfer-Encoding : chunked",
+        "Transfer\x0bEncoding: chunked",
+    ] {
+        assert_rejected("bad-field", BrokenReply::HeadLine(line));
     }
 }
--- a/kwg-h1/tests/heads.rs
+++ b/kwg-h1/tests/heads.rs
@@ -61,6 +61,22 @@
     }
 }
 
+#[test]
+fn a_field_name_with_a_blank_or_a_control_byte_is_rejected() {
+    let parse = |name: &str| {
+        let head = format!("HTTP/1.1 200 OK\r\nA: b\r\n{name}: c\r\nContent-Length: 3\r\n\r\n");
+        ReplyHead::parse(head.as_bytes())
+    };
+    let invalid = (0..=b' ').chain([0x7f]).map(char::from);
+    for byte in invalid {
+        for name in [format!("X{byte}Name"), format!("{byte}X-Name"), format!("X-Name{byte}")] {
+            assert_eq!(parse(&name), Err(HeadError::Malformed), "{name:?}");
+        }
+    }
+    assert_eq!(parse(""), Err(HeadError::Malformed), "an empty name");
+    assert!(matches!(parse("X-Name"), Ok(Some(_))));
+}
+
 #[test]
 fn no_part_of_a_reply_head_is_a_whole_one() {
     for head in [
--- a/kwg-http/tests/truncated_bodies.rs
+++ b/kwg-http/tests/truncated_bodies.rs
@@ -117,3 +117,17 @@
         assert!(matches!(called, Err(CallError::Exchange { .. })), "{reply:?}: {called:?}");
     }
 }
+
+#[test]
+fn an_invalid_field_name_is_an_error() {
+    for reply in [
+        "HTTP/1.1 200 OK\r\nx name: a\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nx-name : a\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nx\x01name: a\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ncontent-length : 3\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ] {
+        let called = call(reply);
+        assert!(matches!(called, Err(CallError::Exchange { .. })), "{reply:?}: {called:?}");
+    }
+}
--- a/kwg-standin/src/wire/broken_reply.rs
+++ b/kwg-standin/src/wire/broken_reply.rs
@@ -17,6 +17,8 @@
     Status(u16),
     /// The same, with a body that is an answer itself.
     StatusBeforeAnswer(u16),
+    /// An answer with this line in its head, and then nothing on an open connection.
+    HeadLine(&'static str),
 }
 
 impl BrokenReply {
@@ -35,6 +37,7 @@
                 let answer = reply_with("200 OK", "", id, &body);
                 reply_with(&format!("{status:03} Unknown"), "", id, &answer)
             }
+            Self::HeadLine(line) => reply_with("200 OK", &format!("{line}\r\n"), id, &body),
         };
         reader.body(head)?;
         reader.stream.write_all(bytes.as_bytes())?;
