Broken answers: wording of the code, docs

The stand-in's draining and resetting of a connection move to its RequestReader. No behaviour changes.

--- a/knapweedglade/tests/broken_replies.rs
+++ b/knapweedglade/tests/broken_replies.rs
@@ -1,4 +1,4 @@
-//! Replies that are no complete and valid answer are not passed on as one.
+//! Truncated and malformed replies of targets are not passed on as answers.
 
 mod support;
 
@@ -28,8 +28,8 @@
     assert!(whole.is_empty(), "{} of 40: {whole:?}", whole.len());
 }
 
-/// Asserts that callers get a failure of the gateway instead of the reply, and that only a request that
-/// may run again does so.
+/// Asserts that callers get a failure of the gateway instead of the reply, and that only a retryable
+/// request is sent to a second target.
 fn assert_rejected(name: &str, broken: BrokenReply) {
     let fleet = TestFleet::start(name, 2);
     fleet.runners.iter().for_each(|runner| runner.set_mode(RunnerMode::Broken(broken)));
--- a/kwg-gateway/src/socket/byte_socket.rs
+++ b/kwg-gateway/src/socket/byte_socket.rs
@@ -56,8 +56,8 @@
     write_error: WriteError,
 }
 
-/// The error with which writing has failed, unless the peer had ended its direction before. The kernel
-/// reports a connection's error once: a read after the failed write sees an orderly end.
+/// The error of a failed write. The kernel reports an error of a socket once: a read after the failed
+/// write would return 0, as if the peer had closed the connection.
 type WriteError = Cell<Option<io::ErrorKind>>;
 
 /// The read half of a [`ByteSocket`].
@@ -184,7 +184,7 @@
     /// cancelled.
     ///
     /// # Errors
-    /// Errors of the socket, also one that a write has reported before.
+    /// Errors of the socket, including one that a write has returned before.
     pub(crate) async fn fill_up_to(&mut self, limit: usize) -> io::Result<usize> {
         // A peer that sends faster than its bytes are processed must not keep timers and other
         // tasks waiting. The pause is before a read, since one after it would let a timer that has
@@ -261,8 +261,8 @@
             Ok(0) => Err(io::ErrorKind::WriteZero.into()),
             Ok(count) => Ok(count),
             Err(error) => {
-                // The first write after a reset reports the reset. `BrokenPipe` alone means that the
-                // peer's direction had come to its end before.
+                // `BrokenPipe` instead of the reset means that the peer had shut down its sending side
+                // before; all that it sent can be read.
                 if error.kind() != io::ErrorKind::BrokenPipe {
                     self.write_error.set(Some(error.kind()));
                 }
--- a/kwg-gateway/tests/unit/target_exchange.rs
+++ b/kwg-gateway/tests/unit/target_exchange.rs
@@ -60,8 +60,8 @@
     assert_eq!(read.expect_err("closed"), AttemptEvidence::NotSent);
 }
 
-/// Reads an answer without length, whose connection the target ends by `end` while the request is being
-/// sent. The write after that is the first to fail, before the end is read.
+/// Reads an answer without length from a target that closes the connection with `end` before the
+/// request has been written. A write fails before the end of the answer is read.
 fn read_after_failed_write(end: impl FnOnce(TcpStream)) -> Result<Vec<u8>, AttemptEvidence> {
     let state = new_state();
     block_on(async {
@@ -84,7 +84,7 @@
 
 #[test]
 fn an_answer_without_length_is_cut_if_a_write_has_met_the_reset() {
-    // The part of the request that has not been read turns the close into a reset.
+    // Closing a socket with unread bytes resets the connection.
     let read = read_after_failed_write(drop);
     assert_eq!(read.expect_err("reset"), AttemptEvidence::Cut);
 }
--- a/kwg-h1/src/reply_head.rs
+++ b/kwg-h1/src/reply_head.rs
@@ -9,7 +9,7 @@
 
 /// Maximum length of a head from a target or the store, in bytes.
 const MAX_REPLY_HEAD: usize = 32 << 10;
-/// Status codes that HTTP defines. With any other, it is open whether a body or another reply follows.
+/// Valid status codes (RFC 9110, section 15). Others do not tell whether the reply is interim or final.
 const VALID_STATUS: RangeInclusive<u16> = 100..=599;
 
 /// Parsed head of a reply: status, fields and how its body ends.
--- a/kwg-http/src/call_client.rs
+++ b/kwg-http/src/call_client.rs
@@ -54,8 +54,7 @@
         /// The cause.
         reason: String,
     },
-    /// The reply states no length, so that a truncated body could not be told from a whole one; the
-    /// call may have taken effect.
+    /// The reply states no length, so its body cannot be read; the call may have taken effect.
     #[snafu(display("the reply of {address} states no length"))]
     NoLength {
         /// The address.
--- a/kwg-standin/src/wire/broken_reply.rs
+++ b/kwg-standin/src/wire/broken_reply.rs
@@ -4,20 +4,20 @@
 
 use super::RunnerMode;
 use super::runner_reply::reply_to;
-use super::runner_standin::{WHOLE_EVENTS, drain, reset};
+use super::runner_standin::WHOLE_EVENTS;
 use super::wire_server::RequestReader;
 
-/// A reply that is no complete and valid answer.
+/// A reply that is truncated or malformed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BrokenReply {
     /// The head of an answer without length and a part of its body, sent before the request's body is
     /// read; the connection is reset after this many bytes of that body.
     ResetInUpload(usize),
-    /// An answer with this status, and then nothing on an open connection.
+    /// An answer with this status; the connection stays open.
     Status(u16),
-    /// The same, with a body that is an answer itself.
+    /// The same, with a body that is a valid answer itself.
     StatusBeforeAnswer(u16),
-    /// An answer with this line in its head, and then nothing on an open connection.
+    /// An answer with this line at the start of its head; the connection stays open.
     HeadLine(&'static str),
 }
 
@@ -41,7 +41,7 @@
         };
         reader.body(head)?;
         reader.stream.write_all(bytes.as_bytes())?;
-        drain(reader)
+        reader.drain()
     }
 }
 
@@ -67,5 +67,5 @@
             count => left = left.saturating_sub(count),
         }
     }
-    reset(&reader.stream)
+    reader.reset_on_close()
 }
--- a/kwg-standin/src/wire/runner_standin.rs
+++ b/kwg-standin/src/wire/runner_standin.rs
@@ -83,7 +83,7 @@
     DeclineLeaving,
     /// Declines with 503, and wants no request for this many milliseconds.
     Pause(u64),
-    /// Sends a reply that is no complete and valid answer.
+    /// Sends a reply that is truncated or malformed.
     Broken(BrokenReply),
     /// Answers with status 500 if the request resumes a stream; otherwise as [`Self::DisconnectMidStream`].
     FailResumed,
@@ -190,7 +190,7 @@
         state.is_down.then_some(silent)
     };
     match is_silent {
-        Some(true) => return drain(reader),
+        Some(true) => return reader.drain(),
         Some(false) => return Ok(()),
         None => {}
     }
@@ -207,18 +207,6 @@
 /// The same and a part of the third.
 const CUT_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda";
 
-/// Resets a connection instead of closing it.
-pub(super) fn reset(stream: &TcpStream) -> io::Result<()> {
-    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
-    Ok(())
-}
-
-/// Reads what the peer sends until it closes the connection.
-pub(super) fn drain(reader: &mut RequestReader) -> io::Result<()> {
-    while reader.next()?.is_some() {}
-    Ok(())
-}
-
 /// Ends the runner under a request, with all of its connections.
 fn end_under(
     shared: &Mutex<RunnerState>,
@@ -228,7 +216,7 @@
 ) -> io::Result<()> {
     lock(shared).is_down = true;
     if end == FatalEnd::Silent {
-        return drain(reader);
+        return reader.drain();
     }
     let sent = end.send_part(&mut reader.stream, id);
     for connection in lock(shared).connections.values() {
@@ -259,7 +247,7 @@
             if state.is_down {
                 // It has fallen silent, or its connections are being closed.
                 drop(state);
-                return drain(reader);
+                return reader.drain();
             }
             state.received.push(ReceivedRequest { head: head.clone(), body });
             let parts = head.headers.get("X-Knapweedglade-Prefix-Hash").unwrap_or("");
@@ -379,7 +367,7 @@
                     .write_all(&[&reply.finish().expect("header text"), events].concat())?;
                 // What has arrived is read before the reset.
                 std::thread::sleep(Duration::from_millis(100));
-                return reset(&reader.stream);
+                return reader.reset_on_close();
             }
             _ if head.target.starts_with("/stream/") => {
                 if !stream_events(reader, &head, &id, mode)? {
--- a/kwg-standin/src/wire/wire_server.rs
+++ b/kwg-standin/src/wire/wire_server.rs
@@ -2,6 +2,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use kwg_h1::{BodyDecoder, RequestHead};
 
@@ -52,6 +53,18 @@
         }
     }
 
+    /// Reads what the peer sends until it closes the connection.
+    pub(crate) fn drain(&mut self) -> io::Result<()> {
+        while self.next()?.is_some() {}
+        Ok(())
+    }
+
+    /// Makes the connection be reset instead of closed.
+    pub(crate) fn reset_on_close(&self) -> io::Result<()> {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO))?;
+        Ok(())
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0; 16 << 10];
         let count = self.stream.read(&mut chunk)?;
