http: a status counts also if the reply states no length

So a 404 or a 500 without length, which needs no body, became a cut answer at a router. For a stream at an engine that is another outcome: "missing" and "failed" end the request, "cut" has the stream resumed or searched.

Change: the check is made where a body is read, in BodyReader::read_reply. The head of such a reply is handed out again.

--- a/kwg-http/src/body_reader.rs
+++ b/kwg-http/src/body_reader.rs
@@ -1,5 +1,6 @@
 use futures_lite::AsyncReadExt;
-use http_types::Body;
+use http_types::headers::CONTENT_LENGTH;
+use http_types::{Body, Response, StatusCode};
 use snafu::{ResultExt, Snafu, ensure};
 
 /// Reads complete bodies and detects truncated ones.
@@ -23,6 +24,9 @@
         /// The length announced by the header, in bytes.
         length: usize,
     },
+    /// The reply states no length, so a truncated body cannot be told from a complete one.
+    #[snafu(display("the reply states no length"))]
+    NoLength,
     /// The connection failed.
     #[snafu(display("reading the body failed"))]
     Read {
@@ -61,4 +65,30 @@
         }
         Ok(bytes)
     }
+
+    /// Reads the body of a reply, of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// [`BodyError::NoLength`] for a body that ends with its connection, and as [`Self::read`].
+    ///
+    /// ```
+    /// use http_types::{Response, StatusCode};
+    /// use kwg_http::BodyReader;
+    ///
+    /// let mut reply = Response::new(StatusCode::NoContent);
+    /// let read = BodyReader::read_reply(&mut reply, 10);
+    /// assert_eq!(futures_lite::future::block_on(read).expect("whole"), b"");
+    /// ```
+    pub async fn read_reply(reply: &mut Response, limit: usize) -> Result<Vec<u8>, BodyError> {
+        ensure!(has_known_end(reply), NoLengthSnafu);
+        Self::read(reply.take_body(), limit).await
+    }
+}
+
+/// Whether the end of a reply's body is known. The HTTP library replaces a body that ends with its
+/// connection by an empty one.
+fn has_known_end(reply: &Response) -> bool {
+    let is_bodiless = matches!(reply.status(), StatusCode::NoContent | StatusCode::NotModified);
+    let is_replaced = reply.len() == Some(0) && reply.header(CONTENT_LENGTH).is_none();
+    is_bodiless || !is_replaced
 }
--- a/kwg-http/src/call_client.rs
+++ b/kwg-http/src/call_client.rs
@@ -2,10 +2,9 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http_types::headers::CONTENT_LENGTH;
 use http_types::{Method, Request, Response, StatusCode, Url};
 use kwg_clock::ClockHandle;
-use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{BodyError, BodyReader, SocketStream};
 
@@ -54,13 +53,7 @@
         /// The cause.
         reason: String,
     },
-    /// The reply states no length, so its body cannot be read; the call may have taken effect.
-    #[snafu(display("the reply of {address} states no length"))]
-    NoLength {
-        /// The address.
-        address: SocketAddr,
-    },
-    /// The reply is incomplete or too long; the call may have taken effect.
+    /// The reply is incomplete, too long or states no length; the call may have taken effect.
     #[snafu(display("cannot read the reply of {address}: {source}"))]
     Reply {
         /// The address.
@@ -119,8 +112,7 @@
     /// response.
     ///
     /// # Errors
-    /// [`CallError::Exchange`] and [`CallError::NoLength`], in which case the call may have taken
-    /// effect.
+    /// [`CallError::Exchange`], in which case the call may have taken effect.
     pub async fn open(
         &self,
         stream: SocketStream,
@@ -128,10 +120,7 @@
     ) -> Result<Response, CallError> {
         let address = self.address;
         let response = async_h1::connect(stream, request).await;
-        let response =
-            response.map_err(|error| CallError::Exchange { address, reason: error.to_string() })?;
-        ensure!(has_known_end(&response), NoLengthSnafu { address });
-        Ok(response)
+        response.map_err(|error| CallError::Exchange { address, reason: error.to_string() })
     }
 
     /// Sends a request and reads its complete reply.
@@ -144,7 +133,7 @@
         let stream = self.connect().await?;
         let exchange = async {
             let mut response = self.open(stream, request).await?;
-            let body = BodyReader::read(response.take_body(), REPLY_MAX_BYTES).await;
+            let body = BodyReader::read_reply(&mut response, REPLY_MAX_BYTES).await;
             let body = body.context(ReplySnafu { address })?;
             Ok(HttpReply { status: response.status(), body })
         };
@@ -155,11 +144,3 @@
         exchange.or(timed_out).await
     }
 }
-
-/// Whether the end of the response's body is known. The HTTP library replaces a body that ends with
-/// its connection by an empty one.
-fn has_known_end(response: &Response) -> bool {
-    let is_bodiless = matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
-    let is_replaced = response.len() == Some(0) && response.header(CONTENT_LENGTH).is_none();
-    is_bodiless || !is_replaced
-}
--- a/kwg-http/tests/truncated_bodies.rs
+++ b/kwg-http/tests/truncated_bodies.rs
@@ -86,7 +86,10 @@
         "HTTP/1.1 500 Internal Server Error\r\n\r\nhello",
     ] {
         let called = call(reply);
-        assert!(matches!(called, Err(CallError::NoLength { .. })), "{reply:?}: {called:?}");
+        assert!(
+            matches!(called, Err(CallError::Reply { source: BodyError::NoLength, .. })),
+            "{reply:?}: {called:?}"
+        );
     }
 }
 
--- a/kwg-target/src/stream_error.rs
+++ b/kwg-target/src/stream_error.rs
@@ -28,7 +28,7 @@
     /// The stream contains a malformed event.
     #[snafu(display("{source}"))]
     Malformed { source: SseError },
-    /// A service's reply is incomplete or too long.
+    /// A service's reply is incomplete, too long or states no length.
     #[snafu(display("{source}"))]
     Body { source: BodyError },
     /// The target reported a failure in its stream.
--- a/kwg-target/src/target_client.rs
+++ b/kwg-target/src/target_client.rs
@@ -167,7 +167,7 @@
         report: &impl AsyncFn(TargetEvent),
     ) -> Result<(), StreamError> {
         self.check_head(&response)?;
-        let body = BodyReader::read(response.take_body(), self.options.reply_bytes).await;
+        let body = BodyReader::read_reply(&mut response, self.options.reply_bytes).await;
         let body = body.context(BodySnafu)?;
         let length = body.len() as u64;
         report(TargetEvent::Part { offset: 0, chunk: ByteChunk::from(body) }).await;
