gateway: log when a table is checked next

The log of a reading did not tell whether the table was to be read again, up to which revision, and when. That was to be worked out from the times of the readings alone.

No change of behaviour.

--- a/kwg-gate/src/replica/store_feed.rs
+++ b/kwg-gate/src/replica/store_feed.rs
@@ -174,6 +174,22 @@
         self.schedule.checks = Some(CheckPlan::new(floor, now));
         self
     }
+
+    /// The plan of the next check; none if what is known of the table is proved.
+    ///
+    /// ```
+    /// use kwg_gate::StoreFeed;
+    /// use kwg_model::MonoTime;
+    ///
+    /// let feed = StoreFeed::new();
+    /// assert!(feed.next_check().is_none());
+    /// let feed = feed.plan_checks(9, MonoTime::from_millis(1));
+    /// assert_eq!(feed.next_check().map(|plan| plan.floor()), Some(9));
+    /// ```
+    #[must_use]
+    pub fn next_check(&self) -> Option<&CheckPlan> {
+        self.schedule.checks.as_ref()
+    }
 }
 
 impl StoreFeed<Calling> {
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -169,6 +169,13 @@
                     ReadPurpose::Check => feed.record_check(reading.proved(), now),
                 };
                 self.state.apply_reading(self.table, reading, purpose);
+                if let Some(plan) = feed.next_check() {
+                    let line = EventLine::new("check-planned")
+                        .field("table", table_name(self.table))
+                        .field("floor", plan.floor())
+                        .field("in_ms", plan.time_left(now).as_millis());
+                    log::info!("{line}");
+                }
                 feed
             }
         }
