gate: check a table that is not proved every 1.8 s

The limit is 4.0 s.

Cause: the feed continues after the newest revision, so a change whose history is dropped can only come from reading the table again. A reading that was not proved was followed by others after 0.7, 2 and 5 s and then every 5 s. That interval was meant for a limit of 6 s after the disturbance: the contact time and the time for a change to apply, added up. All instances lose their feeds at once, so their checks fall together and no peer knows more. While readings stay stale the limit is missed as well: they show a change 6 s after it was written, and it has to be in force 2.5 s later.

Evidence: in the log of an instance in the case, readings of the orders 0.7, 2.0 and 5.0 s after the dropped history, all with proved=1; the reads were sound 0.3 s after the last one, and the next reading, which shows the change, came 5.0 s after it. Other explanations are excluded by the same lines: the reading that shows the change is applied at once (news=1), and no peer knew of it earlier (no reading with a peer as its source).

Fix: the first check after 0.7 s, then one every 1.8 s, until one is proved. So a change is known 2.0 s after the reads show it, whether they are sound by then or not.

--- a/kwg-gate/src/replica/check_plan.rs
+++ b/kwg-gate/src/replica/check_plan.rs
@@ -2,11 +2,11 @@
 
 use kwg_model::MonoTime;
 
-/// Times after its reason at which a table is checked.
-const FIRST_CHECKS: [Duration; 3] =
-    [Duration::from_millis(700), Duration::from_millis(2_000), Duration::from_millis(5_000)];
-/// Interval of the checks after these. A change must be known 6 s after the end of a disturbance of the store.
-const LATER_INTERVAL: Duration = Duration::from_secs(5);
+/// Time from the reason for checks to the first one.
+const FIRST_CHECK: Duration = Duration::from_millis(700);
+/// Time from a check to the next one. A change has to be in force 2.5 s after the store's reads show it, and 4 s
+/// after they are sound again. These limits do not add up.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_800);
 
 /// When a table is read again to check what is known of it. The store's reads may be stale for seconds, at a
 /// start as well as after a dropped history, and a feed that broke off may have lacked changes. The checks
@@ -28,7 +28,6 @@
 /// ```
 #[derive(Debug, Clone, Copy)]
 pub struct CheckPlan {
-    since: MonoTime,
     due: MonoTime,
     floor: u64,
 }
@@ -37,7 +36,7 @@
     /// A plan whose checks end once a reading is proved to show all changes up to the revision `floor`.
     #[must_use]
     pub fn new(floor: u64, now: MonoTime) -> Self {
-        Self { since: now, due: now + FIRST_CHECKS[0], floor }
+        Self { due: now + FIRST_CHECK, floor }
     }
 
     /// Whether the next check is due.
@@ -65,7 +64,6 @@
         if proved >= self.floor {
             return None;
         }
-        let later = FIRST_CHECKS.iter().map(|span| self.since + *span).find(|at| *at > now);
-        Some(Self { due: later.unwrap_or(now + LATER_INTERVAL), ..self })
+        Some(Self { due: now + CHECK_INTERVAL, ..self })
     }
 }
--- a/kwg-gate/tests/replica_schedules.rs
+++ b/kwg-gate/tests/replica_schedules.rs
@@ -17,6 +17,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time for what follows the knowledge: requests that are already on their way, and slow instances.
 const MARGIN: Duration = Duration::from_millis(500);
+/// Time after which an instance that the store answers has to know of a change.
+const KNOWN_LIMIT: Duration = DRAIN_LIMIT.saturating_sub(MARGIN);
 /// Time after a disturbance of the store during which the limit does not hold.
 const CONTACT_TIME: Duration = Duration::from_millis(4_000);
 /// Time in which the feeds tell nothing, before the history is dropped and they are cut.
@@ -239,16 +241,16 @@
         let now = self.fleet.now;
         // Bounds hold from the contact time after a disturbance of the store.
         let disturbed = self.disturbed.max(self.fleet.history_missed);
-        let late = now.since((disturbed + CONTACT_TIME).max(written));
         // Somebody must have been able to know: the instance itself or one that it hears.
         let heard = self.followed_since.is_some_and(|since| since <= written)
             || self.is_undisturbed(number, written) && self.unheard[number] <= written;
-        // An instance that was cut off itself may keep a target for the grace period.
-        let limit = match self.is_undisturbed(number, now) {
-            true => DRAIN_LIMIT - MARGIN,
-            false => DRAIN_LIMIT,
+        let (settled, limit) = match self.is_undisturbed(number, now) {
+            // The contact time and the limit do not add up.
+            true => (disturbed + (CONTACT_TIME - KNOWN_LIMIT), KNOWN_LIMIT),
+            // An instance that was cut off itself may keep a target for the grace period.
+            false => (disturbed + CONTACT_TIME, DRAIN_LIMIT),
         };
-        late > limit && heard
+        now.since(settled.max(written)) > limit && heard
     }
 
     /// Checks that no instance uses a target whose leaving it must know, or a configuration that is older than
--- a/kwg-gate/tests/stale_readings.rs
+++ b/kwg-gate/tests/stale_readings.rs
@@ -26,11 +26,11 @@
     fleet
 }
 
-/// Lets readings be stale for that time, and then gives the instances the time that the limits allow.
+/// Lets readings be stale for that time, and then gives the instances the time until the limits hold.
 fn run_until_known(fleet: &mut ReplicaFleet, stale: Duration) {
     fleet.run(stale);
     fleet.store.thaw_reads();
-    fleet.run(CONTACT_TIME + KNOWN_LIMIT);
+    fleet.run(CONTACT_TIME);
 }
 
 #[test]
--- a/kwg-gate/tests/store_feed.rs
+++ b/kwg-gate/tests/store_feed.rs
@@ -113,7 +113,7 @@
 fn a_table_is_checked_after_its_reading_until_that_is_proved() {
     let (feed, _) = StoreFeed::new().begin(at(990), 0.5).answered(&quiet(), at(1_000));
     let mut feed = feed.plan_checks(20, at(1_000));
-    for due in [1_700, 3_000, 6_000, 11_000, 16_000] {
+    for due in [1_700, 3_500, 5_300, 7_100, 8_900] {
         let calling = feed.begin(at(due - 10), 0.5);
         assert_eq!(calling.call(), FeedCall::Follow { wait: Duration::from_millis(10) });
         let (followed, _) = calling.answered(&quiet(), at(due));
@@ -122,6 +122,6 @@
         let (checked, _) = calling.answered(&quiet(), at(due));
         feed = checked.record_check(19, at(due));
     }
-    let feed = feed.record_check(20, at(16_000));
+    let feed = feed.record_check(20, at(8_900));
     assert!(matches!(feed.begin(at(60_000), 0.5).call(), FeedCall::Follow { .. }));
 }
--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -6,7 +6,7 @@
 
 use kwg_gate::{
     CallFailure, Calling, FeedCall, Pausing, PeerRuns, PullReply, ReadPurpose, StoreFeed, StoreRow,
-    StoreWitness, TableReading, TableReplica, TargetId, TargetRegistry, Waiting,
+    StoreWitness, TableReplica, TargetId, TargetRegistry, Waiting,
 };
 use kwg_model::MonoTime;
 
@@ -142,7 +142,7 @@
             }
             FeedCall::Read => {
                 self.readings += 1;
-                let reading = TableReading::new(store.read(), store.revision);
+                let reading = store.read();
                 let feed = feed.plan_checks(reading.revision(), now);
                 (feed, self.replica.apply_reading(reading, ReadPurpose::Start))
             }
@@ -152,7 +152,7 @@
                     store.write_own_row(index);
                 }
                 let shown = store.own_row(index);
-                let reading = TableReading::new(store.read(), store.revision);
+                let reading = store.read();
                 let reading = if shown > floor { reading.with_proof(shown) } else { reading };
                 let feed = feed.record_check(reading.proved(), now);
                 (feed, self.replica.apply_reading(reading, ReadPurpose::Check))
@@ -255,6 +255,7 @@
 
     pub fn step(&mut self) {
         self.now = self.now + TICK;
+        self.store.now = self.now;
         for node in 0..self.nodes.len() {
             self.step_feed(node);
         }
--- a/kwg-gate/tests/support/silent_fleet.rs
+++ b/kwg-gate/tests/support/silent_fleet.rs
@@ -6,7 +6,7 @@
 
 use kwg_gate::{
     CallFailure, Calling, FeedCall, Pausing, PullReply, ReadPurpose, RowChanges, StoreFeed,
-    StoreWitness, TableReading, TableReplica, Waiting,
+    StoreWitness, TableReplica, Waiting,
 };
 use kwg_model::MonoTime;
 
@@ -298,7 +298,7 @@
                 (feed, revision.map(|revision| RowChanges { base, revision, rows }))
             }
             FeedCall::Read => {
-                let reading = TableReading::new(store.read(), store.revision);
+                let reading = store.read();
                 let feed = feed.plan_checks(reading.revision(), now);
                 self.replica.apply_reading(reading, ReadPurpose::Start);
                 (feed, None)
@@ -308,7 +308,7 @@
                     store.write_own_row(index);
                 }
                 let shown = store.own_row(index);
-                let reading = TableReading::new(store.read(), store.revision);
+                let reading = store.read();
                 let reading = if shown > floor { reading.with_proof(shown) } else { reading };
                 let feed = feed.record_check(reading.proved(), now);
                 self.replica.apply_reading(reading, ReadPurpose::Check);
--- a/kwg-gate/tests/support/store_model.rs
+++ b/kwg-gate/tests/support/store_model.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use kwg_gate::{ColdNotice, ServiceName, StoreRow, TargetEntry, TargetId};
+use kwg_gate::{ColdNotice, ServiceName, StoreRow, TableReading, TargetEntry, TargetId};
+use kwg_model::MonoTime;
 
 /// Time after which the kernel closes a connection whose probes are not answered.
 pub const PROBED_LIMIT: Duration = Duration::from_millis(2_000);
@@ -35,30 +36,38 @@
 pub struct StoreModel {
     pub revision: u64,
     pub rows: BTreeMap<String, (u64, Vec<u8>)>,
+    /// The time of the last step of the fleet.
+    pub now: MonoTime,
     changes: Vec<StoreRow>,
+    /// When each revision was written.
+    written: Vec<MonoTime>,
     /// Revision up to which the feed's history is dropped.
     pub dropped: u64,
     /// Whether it answers no call.
     pub is_silent: bool,
     /// Whether its feed tells nothing of changes.
     pub is_deaf: bool,
-    /// An earlier moment, whose rows readings return with the newest revision.
-    stale: Option<StaleMoment>,
+    /// How readings are stale; none while they show the newest rows.
+    stale: Option<StaleReads>,
+    /// Whether a stale reading reports the revision of its rows, and not the newest one.
+    pub reports_shown_revision: bool,
     /// The revisions of each instance's own row.
     own_rows: HashMap<usize, Vec<u64>>,
 }
 
-/// What readings return while they are stale.
+/// Which rows stale readings show.
 #[derive(Debug)]
-struct StaleMoment {
-    revision: u64,
-    rows: BTreeMap<String, (u64, Vec<u8>)>,
+enum StaleReads {
+    /// Those at a revision.
+    Frozen { revision: u64 },
+    /// Those of some time ago.
+    Behind { lag: Duration },
 }
 
 impl StoreModel {
     /// Writes or removes a row; returns the revision of the change.
     pub fn write(&mut self, key: &str, value: Option<&[u8]>) -> u64 {
-        self.revision += 1;
+        self.begin_revision();
         match value {
             Some(value) => self.rows.insert(key.to_owned(), (self.revision, value.to_vec())),
             None => self.rows.remove(key),
@@ -70,13 +79,22 @@
 
     /// A change of another table.
     pub fn write_elsewhere(&mut self) {
+        self.begin_revision();
+    }
+
+    fn begin_revision(&mut self) {
         self.revision += 1;
+        self.written.push(self.now);
     }
 
     /// Lets readings return what is in the store now, until [`Self::thaw_reads`].
     pub fn freeze_reads(&mut self) {
-        let (revision, rows) = (self.revision, self.rows.clone());
-        self.stale.get_or_insert(StaleMoment { revision, rows });
+        self.stale.get_or_insert(StaleReads::Frozen { revision: self.revision });
+    }
+
+    /// Lets readings return what was in the store `lag` ago, until [`Self::thaw_reads`].
+    pub fn lag_reads(&mut self, lag: Duration) {
+        self.stale = Some(StaleReads::Behind { lag });
     }
 
     /// Lets readings return what is in the store.
@@ -86,13 +104,13 @@
 
     /// Writes an instance's own row, in another table.
     pub fn write_own_row(&mut self, instance: usize) {
-        self.revision += 1;
+        self.begin_revision();
         self.own_rows.entry(instance).or_default().push(self.revision);
     }
 
     /// The revision of an instance's own row as readings show it, or 0.
     pub fn own_row(&self, instance: usize) -> u64 {
-        let limit = self.stale.as_ref().map_or(u64::MAX, |moment| moment.revision);
+        let limit = self.shown_revision();
         let revisions = self.own_rows.get(&instance).into_iter().flatten();
         revisions.copied().filter(|revision| *revision <= limit).max().unwrap_or(0)
     }
@@ -102,14 +120,29 @@
         self.dropped = self.revision;
     }
 
-    pub fn read(&self) -> Vec<StoreRow> {
-        let rows = self.stale.as_ref().map_or(&self.rows, |moment| &moment.rows).iter();
-        let row = |(key, (revision, value)): (&String, &(u64, Vec<u8>))| StoreRow {
-            key: key.clone(),
-            value: Some(value.clone()),
-            revision: *revision,
-        };
-        rows.map(row).collect()
+    /// The revision whose rows readings show.
+    fn shown_revision(&self) -> u64 {
+        match &self.stale {
+            None => self.revision,
+            Some(StaleReads::Frozen { revision }) => *revision,
+            Some(StaleReads::Behind { lag }) => {
+                self.written.partition_point(|written| *written + *lag <= self.now) as u64
+            }
+        }
+    }
+
+    /// A full reading of the table.
+    pub fn read(&self) -> TableReading {
+        let shown = self.shown_revision();
+        let mut rows = BTreeMap::new();
+        for row in self.changes.iter().filter(|row| row.revision <= shown) {
+            match row.value {
+                Some(_) => rows.insert(&row.key, row),
+                None => rows.remove(&row.key),
+            };
+        }
+        let revision = if self.reports_shown_revision { shown } else { self.revision };
+        TableReading::new(rows.into_values().cloned().collect(), revision)
     }
 
     pub fn changes_after(&self, after: u64) -> Vec<StoreRow> {
