gateway: a check writes the own row once

With checks every 1.8 s an instance would have written its row with each of them while readings are stale: four calls a check. A row that the store has written after the floor of the checks is later than that floor, so one write is enough, and the checks after it need two calls until readings show the row.

Test: three checks of stale readings write the row three times on the code before, once now.

--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -16,6 +16,8 @@
     state: Rc<ControlState>,
     table: SharedTable,
     link: StoreLink,
+    /// The highest revision after which the store is known to have written this instance's row for a check.
+    written_after: Option<u64>,
 }
 
 /// Why a call failed.
@@ -34,7 +36,7 @@
 impl StoreReader {
     pub(crate) fn new(state: &Rc<ControlState>, table: SharedTable) -> Self {
         let link = StoreLink::new(state.settings.store, state.clock.clone());
-        Self { state: Rc::clone(state), table, link }
+        Self { state: Rc::clone(state), table, link, written_after: None }
     }
 
     /// Reads the whole table, page by page.
@@ -62,8 +64,12 @@
     /// `floor`, before and after that, the reading is proved to show all changes up to that row.
     pub(crate) async fn check(&mut self, floor: u64) -> Result<TableReading, FeedError> {
         let mut shown = self.read_own_row().await?;
-        if shown <= floor && !self.state.has_left() {
-            self.write_own_row().await?;
+        // One write is enough: stale reads show it later.
+        let is_written = self.written_after.is_some_and(|after| after >= floor);
+        if shown <= floor && !is_written && !self.state.has_left() {
+            if self.write_own_row().await? {
+                self.written_after = Some(floor);
+            }
             shown = self.read_own_row().await?;
         }
         let reading = self.read().await?;
@@ -92,9 +98,9 @@
         Ok(row.map_or(0, |row| row.revision))
     }
 
-    /// Writes this instance's row again. That the store declines to is no failure: the next check tries
-    /// again.
-    async fn write_own_row(&mut self) -> Result<(), FeedError> {
+    /// Writes this instance's row again; returns whether the store did. That it declines is no failure: the next
+    /// check tries again.
+    async fn write_own_row(&mut self) -> Result<bool, FeedError> {
         let settings = &self.state.settings;
         let (key, row) =
             (InstanceDirectory::own_key(settings), InstanceDirectory::own_row(settings));
@@ -108,10 +114,11 @@
         let reply =
             self.link.call(&StoreCodec::encode_write(&write), FeedCall::Read.reply_limit()).await;
         let (status, body) = reply.map_err(FeedError::Call)?;
-        if let Err(error) = StoreCodec::decode_write(status, &body) {
+        let written = StoreCodec::decode_write(status, &body);
+        if let Err(error) = &written {
             log::info!("event=own-row-unwritten reason=\"{error}\"");
         }
-        Ok(())
+        Ok(written.is_ok())
     }
 
     async fn call(&mut self, request: &[u8], limit: Duration) -> Result<StoreReading, FeedError> {
--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -246,6 +246,21 @@
     assert!(writes > 0, "the row has to be later than the first reading");
 }
 
+/// Guards against a write of the own row with each check while readings are stale.
+#[test]
+fn checks_of_stale_readings_write_the_own_row_once() {
+    let both = [ready_row("t1", 5), ready_row("t2", 4)];
+    let script = vec![
+        rows(&both, 20, false),
+        table(&both, 30),
+        table(&both, 31),
+        table(&both, 32),
+        StoreAct::Changes(Vec::new()),
+    ];
+    let Played { writes, .. } = play(script, &[15], Duration::from_millis(200), false);
+    assert_eq!(writes, 1);
+}
+
 #[test]
 fn a_check_after_which_the_own_row_is_an_earlier_one_removes_no_target() {
     let Played { state, .. } = play_check(&[25, 15], false);
