gateway: check a table whose feed was closed between two polls

What callers would see: a target that has left, or an old configuration, is used until the table changes again.

A poll that ends while the feeds tell nothing reports the newest revision, so the feed goes on after the change. Checks followed only if a call broke off. If the connection is closed between the reply and the next call, StoreLink opened another one and nobody knew of the break; the next poll asks for what is after the dropped history, so it gets no 410 either.

Fix: a connection that is found closed before a poll plans checks, as a poll that breaks off does (event poll-connection-closed).

--- a/kwg-gate/tests/support/replica_fleet.rs
+++ b/kwg-gate/tests/support/replica_fleet.rs
@@ -234,6 +234,10 @@
                     let draw = self.draws.next();
                     Some(node.fail(calling, CallFailure::Broken, self.now, draw))
                 }
+                Some(FeedState::Waiting(feed)) => {
+                    let revision = node.replica.mirror().revision();
+                    Some(FeedState::Waiting(feed.plan_checks(revision, self.now)))
+                }
                 other => other,
             };
         }
--- a/kwg-gateway/src/control/store_link.rs
+++ b/kwg-gateway/src/control/store_link.rs
@@ -23,6 +23,16 @@
         Self { address, clock, socket: None }
     }
 
+    /// Drops the connection if it has been closed since the last reply, which did not announce that; returns
+    /// whether it had.
+    pub(crate) fn discard_closed(&mut self) -> bool {
+        let is_closed = self.socket.as_ref().is_some_and(|socket| !socket.is_quiet());
+        if is_closed {
+            self.socket = None;
+        }
+        is_closed
+    }
+
     /// Sends an encoded request; returns the reply's status and body.
     ///
     /// After an error the connection is closed, and the store may or may not have applied the call.
--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -39,6 +39,11 @@
         Self { state: Rc::clone(state), table, link, written_after: None }
     }
 
+    /// Whether the connection to the store broke after the last call.
+    pub(crate) fn has_lost_connection(&mut self) -> bool {
+        self.link.discard_closed()
+    }
+
     /// Reads the whole table, page by page.
     pub(crate) async fn read(&mut self) -> Result<TableReading, FeedError> {
         let (mut reading, mut from) = (None::<TableReading>, String::new());
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -55,7 +55,13 @@
             if self.state.is_filled(self.table) {
                 self.wait_store_reader().await;
             }
-            let calling = feed.begin(self.state.clock.now(), random());
+            let now = self.state.clock.now();
+            // The last reply may lack changes, as that of a poll that breaks off may.
+            if self.reader.has_lost_connection() {
+                log::info!("event=poll-connection-closed table={}", table_name(self.table));
+                feed = feed.plan_checks(self.state.revision(self.table), now);
+            }
+            let calling = feed.begin(now, random());
             let round = self.call(&calling).await;
             let now = self.state.clock.now();
             let pausing = match round {
--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -15,6 +15,7 @@
 use kwg_clock::{ClockHandle, ManualClock};
 use kwg_settings::GatewaySettings;
 use kwg_wire::SharedTable;
+use rustix::net::SendFlags;
 
 use super::TableFeed;
 use crate::control::control_state::{ControlPipes, ControlState, TableChanges};
@@ -39,6 +40,8 @@
     Changes(Vec<(u64, String)>),
     /// Answers a reading of the table; calls for changes before it get none.
     Table(String),
+    /// Answers it; the connection is closed by the time the answer can be read.
+    Last(String),
     /// Closes the connection.
     Close,
 }
@@ -73,6 +76,14 @@
     stream.write_all((head + body).as_bytes()).expect("sent");
 }
 
+/// Sends an answer together with the end of the connection.
+fn send_last(stream: TcpStream, body: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let sent = rustix::net::send(&stream, answer.as_bytes(), SendFlags::MORE).expect("sent");
+    assert_eq!(sent, answer.len());
+    drop(stream);
+}
+
 /// A store that plays the script and then answers nothing, but for calls about the instance's own row. The
 /// receiver closes when it is played.
 fn store(
@@ -119,6 +130,10 @@
                     Some(StoreAct::Answer(body) | StoreAct::Table(body)) => {
                         send(&mut stream, &body);
                     }
+                    Some(StoreAct::Last(body)) => {
+                        send_last(stream, &body);
+                        break;
+                    }
                     Some(StoreAct::Close | StoreAct::Changes(_)) => break,
                     None => drop(playing.take()),
                 }
@@ -286,3 +301,18 @@
     let Played { state, .. } = play(script, &[25, 25, 40], Duration::from_millis(20), false);
     assert_eq!(targets(&state), ["t2"], "the feed had not told that t1 was removed");
 }
+
+/// Guards against changes that are missed for good when the feed is cut between two polls.
+#[test]
+fn a_table_is_checked_after_its_connection_closed_between_two_polls() {
+    let both = [ready_row("t1", 5), ready_row("t2", 4)];
+    let script = vec![
+        rows(&both, 20, false),
+        table(&both, 30),
+        StoreAct::Last(r#"{"rows":[],"ver":50}"#.to_owned()),
+        table(&[ready_row("t2", 4)], 60),
+        StoreAct::Changes(Vec::new()),
+    ];
+    let Played { state, .. } = play(script, &[25, 25, 60], Duration::from_millis(20), false);
+    assert_eq!(targets(&state), ["t2"], "the poll before had not told that t1 was removed");
+}
