--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -39,8 +39,8 @@
         Self { state: Rc::clone(state), table, link, written_after: None }
     }
 
-    /// Whether the connection to the store broke after the last call.
-    pub(crate) fn has_lost_connection(&mut self) -> bool {
+    /// Drops the connection to the store if it has been closed since the last call; returns whether it had.
+    pub(crate) fn discard_closed(&mut self) -> bool {
         self.link.discard_closed()
     }
 
--- a/kwg-gateway/src/control/table_feed.rs
+++ b/kwg-gateway/src/control/table_feed.rs
@@ -56,8 +56,8 @@
                 self.wait_store_reader().await;
             }
             let now = self.state.clock.now();
-            // The last reply may lack changes, as that of a poll that breaks off may.
-            if self.reader.has_lost_connection() {
+            // The feed may have lacked changes before its connection was closed.
+            if self.reader.discard_closed() {
                 log::info!("event=poll-connection-closed table={}", table_name(self.table));
                 feed = feed.plan_checks(self.state.revision(self.table), now);
             }
