--- a/kwg-gate/tests/dropped_history.rs
+++ b/kwg-gate/tests/dropped_history.rs
@@ -21,8 +21,6 @@
 const MARGIN: Duration = Duration::from_millis(500);
 /// Time in which the feeds tell nothing, before the history is dropped and they are cut.
 const GAP_TIME: Duration = Duration::from_millis(1_000);
-/// Time of the change within the gap.
-const CHANGE_TIME: Duration = Duration::from_millis(500);
 /// The instances that follow the store.
 const SIZE: usize = 3;
 /// Key of the row that a new configuration replaces.
