gateway: write the own row again if reads do not show it for 10 s

The checks rewrote it each time before; since they write it once they would go on for ever, every 1.8 s. Now the write counts for 10 s.

Test: with eight checks that are not proved the row is written twice; four write it once.

--- a/kwg-gateway/src/control/mod.rs
+++ b/kwg-gateway/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod peer_handler;
 mod peer_outbox;
 mod pending_phases;
+mod row_write;
 mod store_link;
 mod store_reader;
 mod table_feed;
--- a/kwg-gateway/src/control/store_reader.rs
+++ b/kwg-gateway/src/control/store_reader.rs
@@ -8,6 +8,7 @@
 
 use super::control_state::ControlState;
 use super::instance_directory::InstanceDirectory;
+use super::row_write::RowWrite;
 use super::store_link::StoreLink;
 
 /// Makes the calls with which one of the store's tables is followed.
@@ -16,8 +17,8 @@
     state: Rc<ControlState>,
     table: SharedTable,
     link: StoreLink,
-    /// The highest revision after which the store is known to have written this instance's row for a check.
-    written_after: Option<u64>,
+    /// The last write of this instance's row for a check.
+    written: Option<RowWrite>,
 }
 
 /// Why a call failed.
@@ -36,7 +37,7 @@
 impl StoreReader {
     pub(crate) fn new(state: &Rc<ControlState>, table: SharedTable) -> Self {
         let link = StoreLink::new(state.settings.store, state.clock.clone());
-        Self { state: Rc::clone(state), table, link, written_after: None }
+        Self { state: Rc::clone(state), table, link, written: None }
     }
 
     /// Drops the connection to the store if it has been closed since the last call; returns whether it had.
@@ -69,12 +70,10 @@
     /// `floor`, before and after that, the reading is proved to show all changes up to that row.
     pub(crate) async fn check(&mut self, floor: u64) -> Result<TableReading, FeedError> {
         let mut shown = self.read_own_row().await?;
-        // One write is enough: stale reads show it later.
-        let is_written = self.written_after.is_some_and(|after| after >= floor);
-        if shown <= floor && !is_written && !self.state.has_left() {
-            if self.write_own_row().await? {
-                self.written_after = Some(floor);
-            }
+        let at = self.state.clock.now();
+        let may_show = self.written.is_some_and(|write| write.may_show(floor, at));
+        if shown <= floor && !may_show && !self.state.has_left() {
+            self.written = self.write_own_row().await?.then_some(RowWrite { floor, at });
             shown = self.read_own_row().await?;
         }
         let reading = self.read().await?;
--- a/kwg-gateway/tests/unit/table_feed.rs
+++ b/kwg-gateway/tests/unit/table_feed.rs
@@ -261,19 +261,25 @@
     assert!(writes > 0, "the row has to be later than the first reading");
 }
 
+/// Checks `count` times what may be stale; the store shows the own row at an earlier revision.
+fn play_unproved_checks(count: u64) -> Played {
+    let both = [ready_row("t1", 5), ready_row("t2", 4)];
+    let mut script = vec![rows(&both, 20, false)];
+    script.extend((0..count).map(|number| table(&both, 30 + number)));
+    script.push(StoreAct::Changes(Vec::new()));
+    play(script, &[15], Duration::from_millis(200), false)
+}
+
 /// Guards against a write of the own row with each check while readings are stale.
 #[test]
 fn checks_of_stale_readings_write_the_own_row_once() {
-    let both = [ready_row("t1", 5), ready_row("t2", 4)];
-    let script = vec![
-        rows(&both, 20, false),
-        table(&both, 30),
-        table(&both, 31),
-        table(&both, 32),
-        StoreAct::Changes(Vec::new()),
-    ];
-    let Played { writes, .. } = play(script, &[15], Duration::from_millis(200), false);
-    assert_eq!(writes, 1);
+    assert_eq!(play_unproved_checks(4).writes, 1);
+}
+
+/// Guards against checks that never end because the own row was removed after it had been written.
+#[test]
+fn the_own_row_is_written_again_if_readings_do_not_show_it_for_long() {
+    assert_eq!(play_unproved_checks(8).writes, 2);
 }
 
 #[test]
