--- a/review/lab-3/src/bad_route.rs
+++ b/review/lab-3/src/bad_route.rs
@@ -33,7 +33,7 @@
 /// Plays the case; returns whether the rule held.
 pub fn play(file: &str, has_trouble: bool) -> Result<bool, Box<dyn Error>> {
     let record = Record::create(file)?;
-    let service = Service::new(&record, has_trouble.then_some(("/open/", "v2")));
+    let service = Service::new(&record, has_trouble.then_some(("/merge/", "v2")));
     let start = |number: usize, version: &'static str| {
         Runner::start(&format!("i-{version}-{number}"), version, &service)
     };
@@ -112,7 +112,7 @@
                     &sent,
                     &statuses,
                     other.front,
-                    ("POST", "/open/a", format!("o{count}")),
+                    ("POST", "/merge/a", format!("o{count}")),
                 );
             }
         }
@@ -196,7 +196,7 @@
     };
     let routes = [
         route("repo-scan", "/scan/", "idempotent", 2),
-        route("pr-open", "/open/", "non_idempotent", 1),
+        route("pr-merge", "/merge/", "non_idempotent", 1),
     ];
     format!(
         "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\
